--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -32,6 +32,8 @@
 const SETTLE: Duration = Duration::from_millis(20); // until a connection is sure to have been looked at
 const OVER_DEADLINE: Duration = Duration::from_millis(500); // after a stop, to have sent all answers
 
+const REPORT_EVERY: Duration = Duration::from_secs(5); // between log lines on the clients' connections
+
 const PULSE: Duration = Duration::from_millis(10); // between the beats that show a hold-up
 const HELD_UP: Nanos = 25_000_000; // between two beats: well over what timers and a full turn take
 const TURN: Nanos = 2_000_000; // after a hold-up, in which what it kept waiting is found
@@ -48,6 +50,33 @@
     most: usize,
     stopping: AtomicBool,
     pulse: Pulse,
+    tally: Tally,
+}
+
+/// What became of connections since the last log line; shows an operator peers that send no proper request.
+#[derive(Default)]
+struct Tally {
+    accepted: AtomicU64,
+    silent: AtomicU64,    // closed because no whole head came in time
+    malformed: AtomicU64, // ended by the client's fault, or with an error before the driver saw a request
+    full: AtomicU64,      // times that a client had to wait for room
+}
+
+impl Tally {
+    /// Writes a line if there is something in it that an operator should look at.
+    fn report(&self, held: usize, most: usize) {
+        let take = |count: &AtomicU64| count.swap(0, Ordering::Relaxed);
+        let accepted = take(&self.accepted);
+        let (silent, malformed, full) = (take(&self.silent), take(&self.malformed), take(&self.full));
+        if silent + malformed + full > 0 {
+            info!(held, most, accepted, silent, malformed, full, "clients");
+        }
+    }
+}
+
+/// Adds one to a count.
+fn count(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
 }
 
 impl Front {
@@ -65,6 +94,7 @@
             most,
             stopping: AtomicBool::new(false),
             pulse: Pulse::new(clock.now()),
+            tally: Tally::default(),
         }
     }
 
@@ -73,9 +103,14 @@
         let (close, closing) = watch::channel(false);
         let front = self.clone();
         tokio::spawn(async move {
+            let mut reported = Instant::now();
             loop {
                 sleep(PULSE).await;
                 front.pulse.beat(front.clock.now());
+                if reported.elapsed() >= REPORT_EVERY {
+                    reported = Instant::now();
+                    front.tally.report(front.most - front.slots.available_permits(), front.most);
+                }
             }
         });
         let accept = async {
@@ -108,9 +143,13 @@
     }
 
     async fn accept(self: &Arc<Self>, listener: &TcpListener, closing: &watch::Receiver<bool>) {
+        if self.slots.available_permits() == 0 {
+            count(&self.tally.full);
+        }
         let Ok(slot) = self.slots.clone().acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, _)) => {
+                count(&self.tally.accepted);
                 tokio::spawn(self.clone().connection(stream, slot, closing.clone()));
             }
             Err(error) => {
@@ -134,16 +173,26 @@
         tokio::pin!(connection);
         tokio::select! {
             biased;
-            _ = connection.as_mut() => return,
+            ended = connection.as_mut() => return self.ended(ended),
             _ = closing.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
         }
         let _ = connection.await; // how it ends shows at the request on it
     }
 
+    /// Counts an end that is the peer's fault; all others show at the request on the connection.
+    fn ended(&self, ended: hyper::Result<()>) {
+        match ended {
+            Err(error) if error.is_timeout() => count(&self.tally.silent),
+            Err(error) if error.is_parse() || error.is_incomplete_message() => count(&self.tally.malformed),
+            _ => {}
+        }
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
         let mut response = match self.respond(request).await {
             Ok(response) => response,
             Err(status) => {
+                count(&self.tally.malformed);
                 let mut response = Response::new(Full::default());
                 *response.status_mut() = status;
                 response
