Close clients that send no whole request within 2.1 s; clients hold a third

Silent and slow peers (25 a second at each node) held every client slot for the 75 s of the old idle timeout; from 10 s on no client was accepted. A head now has 2.1 s, a body 0.7 s, a request that is not proper ends its connection, and what is buffered of a head is bounded so that all slots fit in memory.

The test fails with the old timeout: a silent peer held its slot for 75 s.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -14,7 +14,8 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc::UnboundedSender, oneshot, watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 use tracing::{info, warn};
@@ -25,7 +26,11 @@
 use crate::interface::{Nanos, RequestId, Settings};
 use crate::settings::{Names, Numbering};
 
-const IDLE_TIMEOUT: Duration = Duration::from_secs(75); // of a client's connection between requests
+/// For a whole head, from the connection's start or the last answer. Whoever sends no proper request is owed
+/// a close within 3 s of connecting, and a connection without an open request may be closed after 2 s.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(2_100);
+const BODY_TIMEOUT: Nanos = 700_000_000; // for the rest of a request, so that both fit in the 3 s
+const HEAD_MOST: usize = 16 << 10; // bytes buffered of a request: all slots together must fit in memory
 const SPARE: usize = 32; // connections short of the most at which they are closed after their answer
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10); // after a failed accept, so as not to spin
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(550); // for what clients still open then
@@ -58,7 +63,8 @@
 struct Tally {
     accepted: AtomicU64,
     silent: AtomicU64,    // closed because no whole head came in time
-    malformed: AtomicU64, // ended by the client's fault, or with an error before the driver saw a request
+    malformed: AtomicU64, // closed because what came was not HTTP or not whole
+    rejected: AtomicU64,  // closed after a request that was not proper and was answered with an error
     full: AtomicU64,      // times that a client had to wait for room
 }
 
@@ -67,9 +73,10 @@
     fn report(&self, held: usize, most: usize) {
         let take = |count: &AtomicU64| count.swap(0, Ordering::Relaxed);
         let accepted = take(&self.accepted);
-        let (silent, malformed, full) = (take(&self.silent), take(&self.malformed), take(&self.full));
-        if silent + malformed + full > 0 {
-            info!(held, most, accepted, silent, malformed, full, "clients");
+        let (silent, malformed) = (take(&self.silent), take(&self.malformed));
+        let (rejected, full) = (take(&self.rejected), take(&self.full));
+        if silent + malformed + rejected + full > 0 {
+            info!(held, most, accepted, silent, malformed, rejected, full, "clients");
         }
     }
 }
@@ -150,6 +157,9 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 count(&self.tally.accepted);
+                if stream.set_nodelay(true).is_err() {
+                    return; // it has ended already
+                }
                 tokio::spawn(self.clone().connection(stream, slot, closing.clone()));
             }
             Err(error) => {
@@ -160,15 +170,14 @@
     }
 
     async fn connection(
-        self: Arc<Self>, stream: TcpStream, _slot: OwnedSemaphorePermit, mut closing: watch::Receiver<bool>,
+        self: Arc<Self>, stream: impl AsyncRead + AsyncWrite + Unpin, _slot: OwnedSemaphorePermit,
+        mut closing: watch::Receiver<bool>,
     ) {
-        if stream.set_nodelay(true).is_err() {
-            return; // it has ended already
-        }
         let service = service_fn(|request| self.answer(request));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(IDLE_TIMEOUT)
+            .header_read_timeout(HEAD_TIMEOUT)
+            .max_buf_size(HEAD_MOST)
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         tokio::select! {
@@ -189,16 +198,19 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
-        let mut response = match self.respond(request).await {
+        let answered = self.respond(request).await;
+        // Who sends no proper request is not given another try at the cost of a client's slot.
+        let improper = answered.is_err();
+        let mut response = match answered {
             Ok(response) => response,
             Err(status) => {
-                count(&self.tally.malformed);
+                count(&self.tally.rejected);
                 let mut response = Response::new(Full::default());
                 *response.status_mut() = status;
                 response
             }
         };
-        if self.stopping.load(Ordering::Relaxed) || self.slots.available_permits() < SPARE {
+        if improper || self.stopping.load(Ordering::Relaxed) || self.slots.available_permits() < SPARE {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
@@ -225,7 +237,7 @@
             text("x-estimate").and_then(|us| us.parse().ok()).map(|us: Nanos| us.saturating_mul(1000));
         let repeat = text("x-resent") == Some("1");
         let read = Limited::new(body, BODY_MOST).collect();
-        let body = match timeout_at(self.clock.instant(expires), read).await {
+        let body = match timeout_at(self.clock.instant(expires.min(arrived + BODY_TIMEOUT)), read).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(StatusCode::PAYLOAD_TOO_LARGE),
             Ok(Err(_)) => return Err(StatusCode::BAD_REQUEST),
@@ -338,6 +350,57 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::interface::{Class, Effect, Placement};
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    /// What a peer gets that sends this and then nothing more, and after which time the connection ends.
+    async fn sent(text: &str) -> (String, Duration) {
+        let (inputs, _held) = tokio::sync::mpsc::unbounded_channel();
+        let mut names = Names::default();
+        names.classes.number("read");
+        let class = Class {
+            aim: 4_000_000_000,
+            deadline: 5_000_000_000,
+            worth: 1.0,
+            late_worth: 0.0,
+            effect: Effect::Safe,
+            placement: Placement::default(),
+        };
+        let settings = Settings { classes: vec![class], ..Settings::default() };
+        let front = Arc::new(Front::new(&settings, &names, Clock::new(), inputs, 1));
+        let (_close, closing) = watch::channel(false);
+        let slot = front.slots.clone().try_acquire_owned().unwrap();
+        let (mut peer, stream) = tokio::io::duplex(1 << 20);
+        let begun = Instant::now();
+        let connection = tokio::spawn(front.clone().connection(stream, slot, closing));
+        peer.write_all(text.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        let _ = peer.read_to_string(&mut answer).await;
+        connection.await.unwrap();
+        assert_eq!(front.slots.available_permits(), 1, "the slot is free again");
+        (answer, begun.elapsed())
+    }
+
+    /// Guards clients' slots: a peer that sends no proper request holds one for less than 3 s.
+    #[tokio::test(start_paused = true)]
+    async fn who_sends_no_proper_request_gets_an_error_or_a_close_within_3_s() {
+        let head = "POST /read HTTP/1.1\r\nHost: x\r\nX-Txn: 9b1f03aa5c7e2d41\r\n";
+        let cases = [
+            (String::new(), ""),
+            ("POST /re".to_owned(), ""),
+            (head.to_owned(), ""),
+            (format!("{head}Content-Length: 5\r\n\r\npin"), "HTTP/1.1 408"),
+            ("GET /read HTTP/1.1\r\nHost: x\r\n\r\n".to_owned(), "HTTP/1.1 400"),
+            ("GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n".to_owned(), "HTTP/1.1 404"),
+            (format!("{head}X-Fill: {}", "x".repeat(2 * HEAD_MOST)), "HTTP/1.1 431"),
+        ];
+        for (text, answer) in cases {
+            let (got, after) = sent(&text).await;
+            let shown = &text[..text.len().min(100)];
+            assert!(after < Duration::from_secs(3), "{shown:?} held its slot for {after:?}");
+            assert!(got.starts_with(answer), "{shown:?} got {got:?}");
+        }
+    }
 
     #[test]
     fn only_what_a_hold_up_kept_waiting_counts_from_its_beginning() {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,11 +10,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use serde::Deserialize;
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tracing::info;
 
 use crate::interface::{Discovery, Nanos};
@@ -24,6 +25,7 @@
 /// Most bytes that a body may have, either way.
 const BODY_MOST: usize = 64 << 10;
 const BACKLOG: u32 = 1024; // connections that the kernel holds until they are accepted
+const CLIENTS_PART: usize = 3; // one descriptor in so many may be held by clients
 const SOCKETS_LEAST: usize = 64; // descriptors below which no useful node fits
 const OTHER_SOCKETS: usize = 32; // listener, peers, discovery, runtime, log, and some that are closing
 
@@ -73,8 +75,8 @@
         self.unix + self.start.elapsed().as_nanos() as Nanos
     }
 
-    fn instant(&self, at: Nanos) -> tokio::time::Instant {
-        (self.start + Duration::from_nanos(at.saturating_sub(self.unix))).into()
+    fn instant(&self, at: Nanos) -> Instant {
+        self.start + Duration::from_nanos(at.saturating_sub(self.unix))
     }
 }
 
@@ -100,6 +102,8 @@
         if config.limits.sockets < SOCKETS_LEAST {
             return Err(format!("limits.sockets: under {SOCKETS_LEAST}"));
         }
+        // What neither part takes is room for connections that are closing.
+        let clients = config.limits.sockets / CLIENTS_PART;
         let half = (config.limits.sockets - OTHER_SOCKETS) / 2;
         let cannot = |what, at| move |error: io::Error| format!("{what}: cannot use {at}: {error}");
         let listener = listen(config.listen).map_err(cannot("listen", config.listen))?;
@@ -113,7 +117,7 @@
         };
         let asks = settings.discovery == Discovery::Ask;
         let (discovery, watch) = discovery::Watcher::new(config.discovery, sender.clone(), asks);
-        let front = front::Front::new(&settings, &names, clock, sender.clone(), half);
+        let front = front::Front::new(&settings, &names, clock, sender.clone(), clients);
         let pool = upstream::Pool::new(half, host, clock);
         let balancer = Balancer::new(settings, seed);
         let mut driver = driver::Driver::new(balancer, names, clock, host, pool, sender, watch);
