--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 use tokio::time::timeout_at;
-use tracing::{debug, warn};
+use tracing::{debug, info, warn};
 
 use super::discovery::{Endpoint, List};
 use super::peers::Peers;
@@ -22,6 +22,7 @@
 const BACKSTOP: Nanos = 2_000_000; // after the module's time is over; within the margin
 const RETIRE_EVERY: Nanos = 1_000_000_000; // between looks at idle connections
 const BATCH: usize = 256; // inputs taken at once
+const REPORT_EVERY: Nanos = 5_000_000_000; // between log lines on answers and attempts
 
 /// What the other parts report.
 pub enum Input {
@@ -82,11 +83,65 @@
     }
 }
 
+/// What became of requests and attempts since the last log line.
+#[derive(Default)]
+struct Tally {
+    requests: u64,
+    sent: u64,
+    served: u64,
+    refused: u64,
+    failed: u64,
+    left: u64,                   // clients that did not wait for their answer
+    endings: [u64; 8],           // of attempts, by status
+    slowest: Nanos,              // answer of a server
+    bad: HashMap<ServerId, u64>, // attempts that failed, by server
+}
+
+impl Tally {
+    fn ended(&mut self, server: ServerId, status: Status, latency: Nanos) {
+        self.endings[status as usize] += 1;
+        match status {
+            Status::Ok => self.slowest = self.slowest.max(latency),
+            Status::Cancelled | Status::Moot => {}
+            _ => *self.bad.entry(server).or_default() += 1,
+        }
+    }
+
+    /// Writes a line if anything went other than well, and starts anew.
+    fn report(&mut self, names: &Names, ready: usize) {
+        let Tally { requests, sent, served, refused, failed, left, endings, slowest, bad } =
+            std::mem::take(self);
+        if refused + failed + left + bad.len() as u64 == 0 {
+            return;
+        }
+        let of = |status: Status| endings[status as usize];
+        let worst = bad.iter().max_by_key(|(id, &count)| (count, Reverse(**id)));
+        let worst = worst.map(|(id, count)| format!("{}:{count}", names.servers.name(id.0 as usize)));
+        info!(requests, served, refused, failed, left, ready, "answers");
+        info!(
+            sent,
+            ok = of(Status::Ok),
+            slowest_ms = slowest / 1_000_000,
+            error = of(Status::Error),
+            full = of(Status::Full),
+            timeout = of(Status::Timeout),
+            unconnected = of(Status::ConnectFailed),
+            reset = of(Status::Reset),
+            cancelled = of(Status::Cancelled),
+            moot = of(Status::Moot),
+            bad_servers = bad.len(),
+            worst = worst.unwrap_or_default(),
+            "attempts"
+        );
+    }
+}
+
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Timer(u64),
     Deadline(RequestId),
     Retire,
+    Report,
 }
 
 /// Owns the module and all that belongs to it.
@@ -104,6 +159,7 @@
     due: BinaryHeap<Reverse<(Nanos, Due)>>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
+    tally: Tally,
 }
 
 impl Driver {
@@ -122,9 +178,13 @@
             peers: None,
             servers: Vec::new(),
             table: HashMap::new(),
-            due: BinaryHeap::from([Reverse((clock.now() + RETIRE_EVERY, Due::Retire))]),
+            due: BinaryHeap::from([
+                Reverse((clock.now() + RETIRE_EVERY, Due::Retire)),
+                Reverse((clock.now() + REPORT_EVERY, Due::Report)),
+            ]),
             events: VecDeque::new(),
             actions: Vec::new(),
+            tally: Tally::default(),
         }
     }
 
@@ -163,6 +223,7 @@
             Input::Gone(id) => {
                 // What the module has ended by itself it need not hear of.
                 if self.table.get_mut(&id).is_some_and(|open| open.client.take().is_some()) {
+                    self.tally.left += 1;
                     self.handle(Event::Gone(id));
                 }
                 self.settle(id);
@@ -184,6 +245,7 @@
             let _ = client.send(Reply::Refused { retry_after: 0 });
             return;
         }
+        self.tally.requests += 1;
         let now = self.clock.now();
         let deadline = expires.saturating_sub(MARGIN).max(now);
         self.table.insert(id, Open { client: Some(client), outgoing, deadline, attempts: Vec::new() });
@@ -208,6 +270,10 @@
         }
         let terminal = open.client.is_none();
         let latency = self.clock.now() - sent;
+        self.tally.ended(server, ended.status, latency);
+        if ended.status == Status::Ok {
+            self.tally.served += 1;
+        }
         let (status, report) = (ended.status, ended.report);
         self.handle(Event::Outcome { id, attempt, server, status, latency, terminal, report });
         self.settle(id);
@@ -277,6 +343,11 @@
                     self.pool.retire();
                     self.due.push(Reverse((now + RETIRE_EVERY, Due::Retire)));
                 }
+                Due::Report => {
+                    let ready = self.servers.iter().filter(|server| server.takes_sends(now)).count();
+                    self.tally.report(&self.names, ready);
+                    self.due.push(Reverse((now + REPORT_EVERY, Due::Report)));
+                }
             }
         }
     }
@@ -285,6 +356,7 @@
     fn backstop(&mut self, id: RequestId) {
         if let Some(open) = self.table.get_mut(&id).filter(|open| open.client.is_some()) {
             open.answer(Reply::Failed);
+            self.tally.failed += 1;
             warn!(id = id.0, "unanswered at its deadline");
             self.handle(Event::Gone(id));
             self.settle(id);
@@ -306,8 +378,14 @@
         match action {
             Action::Send { id, server, timeout } => self.send(now, id, server, timeout),
             Action::Cancel { id, attempt } => self.cancel(now, id, attempt),
-            Action::Refuse { id, retry_after } => self.answer(id, Reply::Refused { retry_after }),
-            Action::Fail { id } => self.answer(id, Reply::Failed),
+            Action::Refuse { id, retry_after } => {
+                self.tally.refused += 1;
+                self.answer(id, Reply::Refused { retry_after });
+            }
+            Action::Fail { id } => {
+                self.tally.failed += 1;
+                self.answer(id, Reply::Failed);
+            }
             Action::Timer { after, token } => {
                 self.due.push(Reverse((now.saturating_add(after), Due::Timer(token))));
             }
@@ -333,6 +411,7 @@
         let attempt = open.attempts.len() as u32;
         let server = &self.servers[to.0 as usize];
         let way = self.pool.way(to, server.address).filter(|_| open.client.is_some());
+        self.tally.sent += 1;
         let task = way.map(|way| {
             let wait = if timeout > 0 { timeout } else { Nanos::MAX };
             let run = Attempt {
@@ -350,6 +429,7 @@
             task.abort_handle()
         });
         if task.is_none() {
+            self.tally.ended(to, Status::Moot, 0);
             // No connection is to be had on this side, which says nothing of the server.
             let (status, terminal) = (Status::Moot, open.client.is_none());
             let outcome =
@@ -366,6 +446,7 @@
         task.abort();
         let (server, latency, terminal) = (out.server, now - out.sent, open.client.is_none());
         let status = Status::Cancelled;
+        self.tally.ended(server, status, latency);
         self.events.push_back(Event::Outcome {
             id,
             attempt,
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -51,7 +51,8 @@
         self.no_sends_from.store(ends, Ordering::Relaxed);
     }
 
-    fn takes_sends(&self, now: Nanos) -> bool {
+    /// Whether it is within what it was told, or its grace.
+    pub fn takes_sends(&self, now: Nanos) -> bool {
         now < self.no_sends_from.load(Ordering::Relaxed)
     }
 }
