Let lost attempts add to the strain only where answers are slow as well

Each such loss counted as an answer five to eight times as slow as usual, so most requests were refused while the answers that came were as fast as ever. The pace of answers tells a jam from a fault; the old threshold took a pace within chance for a jam.

The new test fails without it: 370 of 400 requests refused untried. The test of a trouble that most servers share had passed because most requests were refused; it now asks that they are served.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,8 +39,7 @@
 const STRAIN_TO: f64 = 2.2; // and at which all of the least valuable requests are refused
 const OVER_SHARE: f64 = 1.25; // of what the median tenant asks for its quota: beyond counts as over it
 const SPREAD_LEAST: f64 = 0.2; // deviation over mean: few answers tell little of less
-const STRAIN_MOST: f64 = 8.0; // what a failure counts as; an answer counts no more either
-const LOST: f64 = 5.0; // and what an answer that never comes counts as where others come in time
+const STRAIN_MOST: f64 = 8.0; // what a failure counts as in a jam; an answer counts no more either
 const STRAIN_GAIN: f64 = 1.0 / 32.0; // least weight of an answer in the strain: one may be chance
 const TELL_TICKS: u32 = 10; // mean number of ticks between messages to peers, to make them few
 const NEWS_PART: usize = 6; // one peer in each so many servers hears of an answer: about once in six sends
@@ -612,12 +611,12 @@
     }
 
     /// Takes an answer into the strain, or that none came. Lost, or a jam? A jam where those that come
-    /// are slow, or none come.
+    /// are so slow that refusing begins, or none come; else the loss is its server's own fault.
     fn sense(&mut self, now: Nanos, class: usize, came: Option<f64>, warmth: f64) {
         let pool = &self.pools[self.pool[class]];
-        let slow = (2.0 * self.deviations(pool.pace) / STRAIN_FROM).clamp(0.0, 1.0);
+        let slow = (self.deviations(pool.pace) / STRAIN_FROM - 1.0).clamp(0.0, 1.0);
         let jam = if (now - pool.heard) as f64 > RATE_WINDOW { 1.0 } else { slow };
-        let lost = warmth * (LOST + jam * (STRAIN_MOST - LOST));
+        let lost = warmth * (pool.pace + jam * (STRAIN_MOST - pool.pace));
         let pool = &mut self.pools[self.pool[class]];
         let gain = ((now - pool.sensed) as f64 / RATE_WINDOW).clamp(STRAIN_GAIN, 4.0 * STRAIN_GAIN);
         pool.strain += gain * (came.unwrap_or(lost).min(STRAIN_MOST) - pool.strain);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -76,9 +76,10 @@
 
 #[test]
 fn a_trouble_that_most_servers_share_ejects_none() {
+    // Refusing most requests once passed for this: 8 visits at each server for 300 requests.
     let visits = visits_where_most_are_ill(Status::Timeout);
-    let (bad, good) = (visits[..3].iter().sum::<usize>(), visits[3]);
-    assert!(bad * 4 > bad + good, "one server was left to carry everything: {visits:?}");
+    assert!(visits[..3].iter().all(|&v| v > 5), "all stay in, at the speed that they show: {visits:?}");
+    assert!(visits[3] > 250, "what the last can serve is not refused: {visits:?}");
 }
 
 #[test]
@@ -552,3 +553,22 @@
     let beyond = (0..60).filter(|_| refused(&node.ask(0, S).1));
     assert!(beyond.count() > 30, "what would have to queue deep is still refused");
 }
+
+#[test]
+fn being_turned_away_by_some_refuses_nothing_while_others_answer_as_fast_as_ever() {
+    // case3480: half of the servers turned one class away, and half of its requests were refused untried.
+    let mut node = steady(15);
+    let untried = (0..400).filter(|turn| {
+        node.pass(20 * MS);
+        let took = |s: ServerId| (8 + u64::from(s.0 + turn) % 5) * MS;
+        let (id, mut actions) = node.ask(0, S);
+        let mut attempt = 0;
+        while let Some(server) = sent(&actions) {
+            let end = if server.0 < 8 { Status::Full } else { Status::Ok };
+            actions = node.end(id, attempt, server, end, took(server));
+            attempt += 1;
+        }
+        attempt == 0
+    });
+    assert_eq!(untried.count(), 0);
+}
