Read the configuration again on SIGHUP and move to the new discovery address

SIGHUP ended the node, which counts as a crash. The watch now starts anew at the address that the file names; a file from which no node could start changes nothing and is logged. The test fails without it: the program is gone.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,13 +14,13 @@
 
 use serde::Deserialize;
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 use tracing::info;
 
-use crate::interface::{Discovery, Nanos};
+use crate::interface::{Discovery, Nanos, Settings};
 use crate::policy::Balancer;
-use crate::settings::{Env, Names};
+use crate::settings::{Env, HostLimits, Names};
 
 /// Most bytes that a body may have, either way.
 const BODY_MOST: usize = 64 << 10;
@@ -56,6 +56,34 @@
         let from = &mut serde_json::Deserializer::from_str(text);
         serde_path_to_error::deserialize(from).map_err(|error| error.to_string())
     }
+
+    /// Whether a node could start from it, short of opening its sockets.
+    fn check(&self, names: &mut Names) -> Result<(HostLimits, Settings, u64), String> {
+        let in_settings = |fault| format!("settings: {fault}");
+        let host = self.settings.host_limits().map_err(in_settings)?;
+        let settings = self.settings.settings(names).map_err(in_settings)?;
+        let seed = u64::from_str_radix(&self.seed, 16).map_err(|error| format!("seed: {error}"))?;
+        if self.limits.sockets < SOCKETS_LEAST {
+            return Err(format!("limits.sockets: under {SOCKETS_LEAST}"));
+        }
+        Ok((host, settings, seed))
+    }
+}
+
+/// Brings a changed configuration to a node that runs. Only where discovery is may change; all else
+/// is read at the start.
+pub struct Reloader(watch::Sender<SocketAddr>);
+
+impl Reloader {
+    /// Takes over what the new text says, or nothing if no node could start from it.
+    pub fn reload(&self, text: &str) -> Result<(), String> {
+        let config = Config::parse(text)?;
+        config.check(&mut Names::default())?;
+        let discovery = config.discovery;
+        let moved = self.0.send_if_modified(|now| std::mem::replace(now, discovery) != discovery);
+        info!(%discovery, moved, "configuration read again");
+        Ok(())
+    }
 }
 
 /// The module's clock: Unix time at the start, which from then on only goes forward.
@@ -88,6 +116,7 @@
     inputs: mpsc::UnboundedReceiver<driver::Input>,
     peers: Option<peers::Peers>,
     discovery: discovery::Watcher,
+    moves: watch::Sender<SocketAddr>,
     name: String,
 }
 
@@ -95,13 +124,7 @@
     /// Checks the configuration and opens the sockets.
     pub async fn bind(config: Config) -> Result<Self, String> {
         let (mut names, clock) = (Names::default(), Clock::new());
-        let in_settings = |fault| format!("settings: {fault}");
-        let host = config.settings.host_limits().map_err(in_settings)?;
-        let settings = config.settings.settings(&mut names).map_err(in_settings)?;
-        let seed = u64::from_str_radix(&config.seed, 16).map_err(|error| format!("seed: {error}"))?;
-        if config.limits.sockets < SOCKETS_LEAST {
-            return Err(format!("limits.sockets: under {SOCKETS_LEAST}"));
-        }
+        let (host, settings, seed) = config.check(&mut names)?;
         // What neither part takes is room for connections that are closing.
         let clients = config.limits.sockets / CLIENTS_PART;
         let half = (config.limits.sockets - OTHER_SOCKETS) / 2;
@@ -116,14 +139,15 @@
             None => None,
         };
         let asks = settings.discovery == Discovery::Ask;
-        let (discovery, watch) = discovery::Watcher::new(config.discovery, sender.clone(), asks);
+        let (moves, address) = watch::channel(config.discovery);
+        let (discovery, watch) = discovery::Watcher::new(address, sender.clone(), asks);
         let front = front::Front::new(&settings, &names, clock, sender.clone(), clients);
         let pool = upstream::Pool::new(half, host, clock);
         let balancer = Balancer::new(settings, seed);
         let mut driver = driver::Driver::new(balancer, names, clock, host, pool, sender, watch);
         driver.tell_through(peers.as_ref());
         driver.known(config.known.unwrap_or_default());
-        Ok(Node { listener, front, driver, inputs, peers, discovery, name: config.name })
+        Ok(Node { listener, front, driver, inputs, peers, discovery, moves, name: config.name })
     }
 
     /// Where clients connect.
@@ -131,6 +155,11 @@
         self.listener.local_addr()
     }
 
+    /// By what a changed configuration reaches the node while it runs.
+    pub fn reloader(&self) -> Reloader {
+        Reloader(self.moves.clone())
+    }
+
     /// Serves until the signal comes and all that was taken has been answered.
     pub async fn run(self, stop: impl Future<Output = ()>) {
         let address = self.listener.local_addr().map_or_else(|error| error.to_string(), |at| at.to_string());
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -324,3 +324,38 @@
     assert!(started.elapsed() < Duration::from_secs(5), "longer than its longest deadline");
     std::fs::remove_file(path).unwrap();
 }
+
+/// Guards the change of configuration: SIGHUP moves the watch, a broken file changes nothing, and the
+/// program serves all the while.
+#[test]
+fn on_sighup_the_program_moves_to_the_new_discovery_and_passes_over_a_broken_file() {
+    let (old, new) = (Server::start(|_| ok()), Server::start(|_| Then::Write(answer(200, "", "new"))));
+    let (_held, before) = Discovery::start(&[("old", old.address)]);
+    let (held, after) = Discovery::start(&[("new", new.address)]);
+    for mode in ["push", "ask"] {
+        let mut config = config(before.address, &[("old", old.address)]);
+        config["settings"]["Discovery"] = mode.into();
+        let (mut command, path) = program(&config.to_string());
+        let (mut child, address) = start(&mut command);
+        let mut client = Client::connect(address);
+        assert_eq!(client.ask("read").body, b"pong");
+        config["discovery"] = after.address.to_string().into();
+        config["settings"]["Limits"].as_object_mut().unwrap().remove("ConnIdle");
+        for broken in ["{\"name\": \"n0\", ", &config.to_string()] {
+            std::fs::write(&path, broken).unwrap();
+            signal(&child, "HUP");
+            assert_eq!(client.ask("read").body, b"pong");
+        }
+        config["settings"]["Limits"]["ConnIdle"] = 30_000_000_000u64.into();
+        std::fs::write(&path, config.to_string()).unwrap();
+        signal(&child, "HUP");
+        assert_eq!(after.next_request().start, "GET /registry/instances HTTP/1.1", "{mode}");
+        while !after.next_request().start.contains("index=1") {}
+        assert_eq!(client.ask("read").body, b"new", "{mode}");
+        signal(&child, "TERM");
+        assert!(child.wait().unwrap().success(), "{mode}");
+        std::fs::remove_file(path).unwrap();
+        while after.seen.try_recv().is_ok() {}
+    }
+    drop(held);
+}
