Keep a server's speed, and that it turns work away, by class

One speed for both classes rose again with every answer to tour-redeem, so track-fetch kept coming back, and after being turned away there all work stayed away for a while. By class each finds the servers that take it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,20 +49,32 @@
 #[derive(Default)]
 struct Server {
     entry: ServerEntry,
-    tie: u64,              // Position in this node's order of servers that cost the same.
-    last: i64,             // Number of own sends when it was last used.
-    slowness: Option<f64>, // smoothed latency over the usual of its class; none until it answers
-    ln_q: f64,
-    ln_q_free: f64, // The same to classes that may go anywhere, after what bound ones need.
-    learned: Nanos,
-    out: u32,     // Own attempts that are out.
-    strikes: u32, // Failures in a row, and until when they or its being full keep it out.
+    tie: u64,        // Position in this node's order of servers that cost the same.
+    last: i64,       // Number of own sends when it was last used.
+    pace: Vec<Pace>, // By class: what one class is turned away by may serve the others well.
+    out: u32,        // Own attempts that are out.
+    strikes: u32,    // Failures in a row, and until when they or its being full keep it out.
     back_at: Nanos,
-    busy_until: Nanos,
     allowance: f64, // Sends that the fall budget leaves this node while the server is cold, as of when.
     refilled: Nanos,
 }
 
+/// How a server serves one class.
+#[derive(Clone, Default)]
+struct Pace {
+    slowness: Option<f64>, // smoothed latency over the usual of the class; none until it answers
+    learned: Nanos,
+    ln_q: f64, // of what the classes bound to few servers leave of it to those that may go anywhere
+    busy_until: Nanos, // as it was turned away
+}
+
+impl Server {
+    /// Smoothed latency over the usual of all classes that it has answered.
+    fn slowness(&self) -> Option<f64> {
+        mean(self.pace.iter().filter_map(|p| p.slowness))
+    }
+}
+
 struct Attempt {
     server: ServerId,
     sent: Nanos,
@@ -203,7 +215,9 @@
             // at once, so it enters at a random phase of its own turn, a short one if it is fast.
             let last = self.sends - (self.rng.f64() * turns / entry.weight).ceil() as i64;
             let (tie, allowance) = (self.rng.u64(..), self.rng.f64());
-            let server = Server { entry, tie, last, out, allowance, refilled: now, ..Server::default() };
+            let pace = vec![Pace::default(); self.set.classes.len()];
+            let server =
+                Server { entry, tie, last, out, pace, allowance, refilled: now, ..Server::default() };
             self.servers.insert(server.entry.id, server);
         }
         self.servers.retain(|_, s| s.entry.readiness != Readiness::Gone || s.out > 0);
@@ -220,13 +234,13 @@
     }
 
     fn reckon(&mut self, now: Nanos) {
-        let known = self.order.iter().filter_map(|id| self.servers[id].slowness).map(f64::recip);
+        let known = self.order.iter().filter_map(|id| self.servers[id].slowness()).map(f64::recip);
         let unknown = mean(known).unwrap_or(1.0) / self.mean_size;
         // The paper's dispatcher sees every arrival, a node only its part: with its own rate as λ
         // every q would be near 0 and turns even whatever the speeds, so all nodes count.
         let own = self.asked.get(now, RATE_WINDOW).max(1.0) / RATE_WINDOW;
         let scale = 1.0 / self.usual_latency() / (own * f64::from(self.set.nodes));
-        let speed = |s: &Server| s.slowness.map_or(unknown * s.entry.weight, f64::recip);
+        let speed = |s: &Server| s.slowness().map_or(unknown * s.entry.weight, f64::recip);
         // A class that may go anywhere sees only the speed that those bound to a server leave of it.
         let ready = || self.order.iter().map(|id| &self.servers[id]);
         let open = |p: &Placement| ready().filter(|s| p.allows(&s.entry)).map(speed).sum::<f64>().max(1e-9);
@@ -235,11 +249,15 @@
         let classes = self.set.classes.iter().map(|c| &c.placement).zip(work());
         let bound = classes.filter(|(p, _)| !p.is_free()).map(|(p, w)| (p.clone(), w * even / open(p)));
         let bound: Vec<(Placement, f64)> = bound.collect();
+        let free: Vec<bool> = self.set.classes.iter().map(|c| c.placement.is_free()).collect();
         for server in self.servers.values_mut() {
             let needed = bound.iter().filter(|(p, _)| p.allows(&server.entry)).map(|(_, part)| part);
             let left = (1.0 - needed.sum::<f64>()).max(LEFT_LEAST);
-            server.ln_q = -(speed(server) * scale).ln_1p();
-            server.ln_q_free = -(speed(server) * left * scale).ln_1p();
+            let any = speed(server);
+            for (pace, free) in server.pace.iter_mut().zip(&free) {
+                let own = pace.slowness.map_or(any, f64::recip) * if *free { left } else { 1.0 };
+                pace.ln_q = -(own * scale).ln_1p();
+            }
         }
     }
 
@@ -275,19 +293,22 @@
         saved % (1.0 + rate * self.set.tip_after as f64)
     }
 
-    /// Notes how an attempt went, as slowness: latency over what is usual.
-    fn learn(&mut self, now: Nanos, id: ServerId, sample: f64) {
+    /// Notes how attempts of these classes went, as slowness: latency over what is usual.
+    fn learn(&mut self, now: Nanos, id: ServerId, classes: std::ops::Range<usize>, sample: f64) {
         let Some(server) = self.servers.get_mut(&id) else { return };
-        let old = server.slowness.unwrap_or(sample);
-        let gain = ((now - server.learned) as f64 / RATE_WINDOW).clamp(SPEED_GAIN / 8.0, SPEED_GAIN);
-        (server.slowness, server.learned) = (Some(old + gain * (sample - old)), now);
+        for pace in &mut server.pace[classes] {
+            let old = pace.slowness.unwrap_or(sample);
+            let gain = ((now - pace.learned) as f64 / RATE_WINDOW).clamp(SPEED_GAIN / 8.0, SPEED_GAIN);
+            (pace.slowness, pace.learned) = (Some(old + gain * (sample - old)), now);
+        }
     }
 
     /// Takes what a peer has learned like an answer of its own.
     fn hear(&mut self, now: Nanos, bytes: &[u8]) {
         for word in bytes.as_chunks().0.iter().map(|&word| u32::from_le_bytes(word)) {
             if let Some(&id) = self.by_tag.get(&(word >> 8)) {
-                self.learn(now, id, (f64::from(word & 255) / NEWS_STEPS - 8.0).exp2());
+                let all = 0..self.set.classes.len(); // peers do not say which class it was
+                self.learn(now, id, all, (f64::from(word & 255) / NEWS_STEPS - 8.0).exp2());
             }
         }
     }
@@ -327,7 +348,7 @@
         for server in ready() {
             let warmth = self.warmth(now, &server.entry);
             let spent = warmth < 1.0 && self.allowance(now, server, warmth, cold_rate) < 1.0;
-            let out = heed && suspect(server) || server.busy_until > now || spent;
+            let out = heed && suspect(server) || server.pace[held.class].busy_until > now || spent;
             if out || !self.in_group(now, held, server) {
                 continue;
             }
@@ -340,8 +361,7 @@
             age *= if warm == Some(server.entry.id) { WARM_KEY } else { 1.0 };
             age *= if held.attempts.iter().any(|a| a.server == server.entry.id) { TRIED } else { 1.0 };
             // What is known beats what is likely: with attempts out the age cheapens less.
-            let ln_q = if class.placement.is_free() { server.ln_q_free } else { server.ln_q };
-            let cost = age * ln_q * warmth / f64::from(1 + server.out).powi(2);
+            let cost = age * server.pace[held.class].ln_q * warmth / f64::from(1 + server.out).powi(2);
             if server.out < limit && best.is_none_or(|(c, t, _)| (cost, server.tie) < (c, t)) {
                 best = Some((cost, server.tie, server.entry.id));
             }
@@ -500,7 +520,7 @@
     fn timeout(&self, now: Nanos, held: &Held, server: ServerId) -> Nanos {
         let usual = &self.usual[held.class];
         let server = &self.servers[&server];
-        let slowness = server.slowness.unwrap_or(1.0).max(1.0) / self.warmth(now, &server.entry).max(0.1);
+        let slowness = server.slowness().unwrap_or(1.0).max(1.0) / self.warmth(now, &server.entry).max(0.1);
         let overdue = ((usual.mean + OVERDUE * usual.deviation) * slowness) as Nanos;
         let class = &self.set.classes[held.class];
         let again = match class.effect {
@@ -554,7 +574,7 @@
             self.sense(now, class, Some(taken / base), warmth);
             self.overtake(now, at, sent);
         } else if failed {
-            self.strike(now, at, status); // one that is gone says nothing of the strain on others
+            self.strike(now, at, class, status); // one that is gone says nothing of the strain on others
             if matches!(status, Status::Full | Status::Timeout) {
                 self.sense(now, class, None, warmth);
             }
@@ -566,7 +586,7 @@
             told.into_iter().for_each(|told| self.service.add(told as f64, USUAL_SAMPLES));
             let sample = told.map_or(taken / self.usual[class].mean, |told| told as f64 / self.service.mean);
             let sample = sample.clamp(1.0 / 256.0, 255.0);
-            self.learn(now, at, sample);
+            self.learn(now, at, class..class + 1, sample);
             if self.set.may_tell && self.news.len() < MESSAGE_MOST {
                 let code = ((sample.log2() + 8.0) * NEWS_STEPS) as u32;
                 self.news.extend((tag & !255 | code & 255).to_le_bytes());
@@ -638,12 +658,12 @@
     }
 
     /// Outlier ejection: a failing server leaves the rotation and comes back by a single trial.
-    fn strike(&mut self, now: Nanos, id: ServerId, status: Status) {
+    fn strike(&mut self, now: Nanos, id: ServerId, class: usize, status: Status) {
         let (usual, jitter) = (self.usual_latency(), 0.5 + self.rng.f64());
         let Some(server) = self.servers.get_mut(&id) else { return };
         if status == Status::Full {
             // Not ill, but refilled at once it would stay full: the fuller, the less it gets done.
-            server.busy_until = now + (2.0 * usual * jitter) as Nanos;
+            server.pace[class].busy_until = now + (2.0 * usual * jitter) as Nanos;
             return;
         }
         server.strikes += 1;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -572,3 +572,27 @@
     });
     assert_eq!(untried.count(), 0);
 }
+
+#[test]
+fn a_class_that_some_servers_turn_away_learns_to_go_elsewhere_and_leaves_them_to_the_rest() {
+    // case3480: eight servers turned track-fetch away and served tour-redeem; a speed that both classes
+    // shared brought each server back into turn for the one with every answer to the other.
+    let mut node = Node::new(settings(vec![class(Effect::Safe); 2]), 15, 11);
+    let (mut away, mut kept) = (0, 0);
+    for turn in 0..600 {
+        node.pass(20 * MS);
+        let (id, mut actions) = node.ask(0, S);
+        let mut attempt = 0;
+        while let Some(server) = sent(&actions) {
+            let bad = server.0 < 8;
+            away += u32::from(bad && turn >= 200);
+            let (end, took) = if bad { (Status::Full, 30 * MS) } else { (Status::Ok, 10 * MS) };
+            actions = node.end(id, attempt, server, end, took);
+            attempt += 1;
+        }
+        let served = node.serve(1, |_| 10 * MS).expect("nothing is wrong with this class");
+        kept += u32::from(served.0 < 8 && turn >= 200);
+    }
+    assert!(away < 100, "{away} of 400 went where they were turned away");
+    assert!(kept > 140, "{kept} of 400 of the other class went there, where even turns are 213");
+}
