Split the program into packages by concern and give it a command line

One package held everything, and three files of the node imported each other in a circle; new fronts and tools had no place. Packages decide, settings, node, drill, config and cli take its parts as they were; messages, list and clock of the node stand in files of their own, which ends the circle. clap gives node, check, completions and manual; without arguments the program is the platform's node as before. merlinfold.toml is read with unknown keys refused and faults named by line and field.

--- a/src/main.rs
+++ b/crates/cli/src/serve.rs
@@ -1,26 +1,17 @@
 //! One real node: reads its configuration, serves, reads it again on SIGHUP, and ends on SIGTERM when
 //! all is answered.
 
-use std::process::ExitCode;
+use std::path::Path;
 
-use merlinfold::net::{Config, Node, Reloader};
+use merlinfold_node::{Config, Node, Reloader};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tracing::warn;
 
-fn main() -> ExitCode {
-    // A log that nobody takes any more must not end the node.
-    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).log_internal_errors(false);
-    log.with_ansi(false).with_target(false).init();
-    match start() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => {
-            eprintln!("merlinfold: {fault}");
-            ExitCode::FAILURE
-        }
-    }
-}
+use crate::{check, log};
 
-fn start() -> Result<(), String> {
+/// Serves until SIGTERM, with the product's configuration in `product` or else its defaults.
+pub fn node(product: Option<&Path>) -> Result<(), String> {
+    log::start(&product.map(check::product).transpose()?.unwrap_or_default().log);
     let path = std::env::var("BALANCER_CONFIG").map_err(|error| format!("BALANCER_CONFIG: {error}"))?;
     let text = read(&path)?;
     let config = Config::parse(&text).map_err(|fault| format!("configuration: {fault}"))?;
--- a/tests/common/sockets.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use merlinfold::net::{Config, Node};
+use merlinfold_node::{Config, Node};
 use serde_json::{json, Value};
 use tokio::sync::oneshot;
 
--- a/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use common::sockets::*;
+use common::*;
 
 fn ok() -> Then {
     Then::Write(answer(200, "", "pong"))
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,174 @@
+//! The product's own configuration: `merlinfold.toml`, every key of which stands with its meaning in
+//! `deploy/merlinfold.toml`.
+//!
+//! What a platform tells a node (where to listen, which classes there are) comes in the platform's own
+//! JSON and is not repeated here. A key that is not known is a fault: a misspelt one must not pass for
+//! one that is set.
+//!
+//! ```
+//! let config = merlinfold_config::parse::<merlinfold_config::Config>("[log]\nformat = \"json\"\n").unwrap();
+//! assert_eq!(config.log.format, merlinfold_config::Format::Json);
+//! let fault = merlinfold_config::parse::<merlinfold_config::Config>("[log]\nfromat = \"json\"\n").unwrap_err();
+//! assert_eq!((fault.line, fault.field.as_str()), (Some(2), "log.fromat"));
+//! ```
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::de::DeserializeOwned;
+use serde::Deserialize;
+use tracing_subscriber::filter::{LevelFilter, Targets};
+
+/// All of `merlinfold.toml`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Config {
+    /// What is logged, and how.
+    pub log: Log,
+}
+
+/// What is logged, and how.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Log {
+    /// Form of a line.
+    pub format: Format,
+    /// Least level that is written.
+    pub level: Level,
+    /// The same for single modules, by path; the longest path that fits a line decides.
+    pub modules: BTreeMap<String, Level>,
+}
+
+/// Form of a line of the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Format {
+    /// For people.
+    #[default]
+    Text,
+    /// One object a line, for collectors.
+    Json,
+}
+
+/// How much a line matters.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    /// Nothing is written.
+    Off,
+    /// Faults that need a person.
+    Error,
+    /// Faults that the program lives with.
+    Warn,
+    /// The life of the program and its counts.
+    #[default]
+    Info,
+    /// Single events.
+    Debug,
+    /// Everything.
+    Trace,
+}
+
+impl From<Level> for LevelFilter {
+    fn from(level: Level) -> Self {
+        match level {
+            Level::Off => LevelFilter::OFF,
+            Level::Error => LevelFilter::ERROR,
+            Level::Warn => LevelFilter::WARN,
+            Level::Info => LevelFilter::INFO,
+            Level::Debug => LevelFilter::DEBUG,
+            Level::Trace => LevelFilter::TRACE,
+        }
+    }
+}
+
+impl Log {
+    /// What lets a line through.
+    pub fn targets(&self) -> Targets {
+        let modules = self.modules.iter().map(|(path, level)| (path.clone(), LevelFilter::from(*level)));
+        Targets::new().with_default(LevelFilter::from(self.level)).with_targets(modules)
+    }
+}
+
+/// Why a text is not what it should be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Line, counted from 1; none where the fault has no place (a missing table).
+    pub line: Option<usize>,
+    /// Path of the field, dots between its parts; empty where the text cannot be read at all.
+    pub field: String,
+    /// What is wrong with it.
+    pub what: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        if let Some(line) = self.line {
+            write!(f, "{line}: ")?;
+        }
+        if !self.field.is_empty() {
+            write!(f, "{}: ", self.field)?;
+        }
+        f.write_str(&self.what)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// Reads a TOML text. Errors name line and field.
+pub fn parse<T: DeserializeOwned>(text: &str) -> Result<T, Fault> {
+    let fault = |error: &toml::de::Error, path: String| {
+        let at = error.span().map(|span| span.start.min(text.len()));
+        let line = at.map(|at| 1 + text.as_bytes()[..at].iter().filter(|&&b| b == b'\n').count());
+        let field = if path == "." { String::new() } else { path };
+        Fault { line, field, what: error.message().replace('\n', "; ") }
+    };
+    let from = toml::Deserializer::parse(text).map_err(|error| fault(&error, String::new()))?;
+    serde_path_to_error::deserialize(from).map_err(|error| fault(error.inner(), error.path().to_string()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const EXAMPLE: &str = include_str!("../../../deploy/merlinfold.toml");
+
+    /// Guards the example: it says what holds anyway, so that nobody is surprised by leaving it out,
+    /// and names every key.
+    #[test]
+    fn the_commented_example_is_valid_and_names_every_key_with_its_default() {
+        let plain = EXAMPLE.lines().map(|line| line.strip_prefix("#= ").unwrap_or(line));
+        let config: Config = parse(&plain.collect::<Vec<_>>().join("\n")).unwrap();
+        let modules = BTreeMap::from([("merlinfold_node::upstream".to_owned(), Level::Debug)]);
+        assert_eq!(config, Config { log: Log { modules, ..Log::default() } });
+        assert_eq!(parse::<Config>(EXAMPLE).unwrap(), Config::default());
+        for key in ["format", "level", "[log.modules]"] {
+            assert!(EXAMPLE.contains(key), "{key}");
+        }
+    }
+
+    #[test]
+    fn a_fault_is_named_by_line_and_field() {
+        for (text, line, field) in [
+            ("[log]\nlevel = \"loud\"", Some(2), "log.level"),
+            ("\n\nlogs = 1", Some(3), "logs"),
+            ("[log]\nformat = 3", Some(2), "log.format"),
+            ("[log\n", Some(1), ""),
+        ] {
+            let fault = parse::<Config>(text).unwrap_err();
+            assert_eq!((fault.line, fault.field.as_str()), (line, field), "{text}: {fault}");
+            assert!(!fault.what.is_empty());
+        }
+    }
+
+    proptest! {
+        /// Whatever stands in the file, reading it ends in a value or a fault with a line that exists.
+        #[test]
+        fn any_text_ends_in_a_value_or_a_fault_with_a_line_that_exists(text in "[a-z\\[\\]=\" .#\n\u{e9}0-9]{0,80}") {
+            if let Err(fault) = parse::<Config>(&text) {
+                prop_assert!(fault.line.is_none_or(|line| line <= text.matches('\n').count() + 1));
+            }
+        }
+    }
+}
--- a/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,8 +7,8 @@
 //! or output of its own: the host feeds it events with the time and carries out its actions.
 //!
 //! ```
-//! use merlinfold::interface::*;
-//! use merlinfold::policy::Balancer;
+//! use merlinfold_decide::interface::*;
+//! use merlinfold_decide::policy::Balancer;
 //!
 //! const MS: Nanos = 1_000_000;
 //! let class = Class {
@@ -43,9 +43,6 @@
 //! assert!(matches!(actions[0], Action::Send { id: RequestId(7), .. }));
 //! ```
 
-pub mod counters;
+mod counters;
 pub mod interface;
-pub mod net;
 pub mod policy;
-pub mod settings;
-pub mod wire;
--- a/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -1,9 +1,9 @@
-//! Every decision of a node. Its types, events and actions are in `src/interface.rs`.
+//! Every decision of a node. Its types, events and actions are in `interface.rs`.
 //!
 //! The ordinary path is Koole's myopic static assignment (IEEE TAC 44, 1999): x_m counts own sends since
 //! server m was last used, q_m = λ/(λ+μ_m) is the chance that a job outlasts a gap between sends, and the
 //! ready server with the least q_m^x_m, the chance that it is still busy, gets the next attempt.
-//! `docs/design.md` lists the departures and when each one acts.
+//! Each departure from it is argued where it stands, at its constant or its function.
 
 use std::collections::BTreeMap;
 
--- a/tests/failures.rs
+++ b/crates/decide/tests/failures.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 
-use merlinfold::interface::*;
+use merlinfold_decide::interface::*;
 
 fn steady(servers: u32) -> Node {
     let mut node = Node::new(settings(vec![class(Effect::Safe)]), servers, 11);
--- a/tests/mechanism.rs
+++ b/crates/decide/tests/mechanism.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 
-use merlinfold::interface::*;
+use merlinfold_decide::interface::*;
 
 /// Sequence of servers once rates are known and steady: one request every `gap`.
 fn sequence(speeds: &[f64], gap: Nanos, length: usize) -> Vec<u32> {
--- a/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 
-use merlinfold::interface::*;
+use merlinfold_decide::interface::*;
 use proptest::prelude::*;
 
 fn keyed(group: Group) -> Effect {
--- a/src/wire.rs
+++ b/crates/drill/src/lib.rs
@@ -1,4 +1,4 @@
-//! The simulator's dialect, translated to and from [`crate::interface`]. No decisions here.
+//! The simulator's dialect, translated to and from [`merlinfold_decide::interface`]. No decisions here.
 //!
 //! `MarksRetry` shows in the marks, `Reporting` in the reports that come; the write bit has no use
 //! where a class's effect is stated. The actions `LetGo`, `GetList`, `Debug` and `Crash` are not
@@ -12,9 +12,9 @@
 use serde::de::{Deserializer, MapAccess, Visitor};
 use serde::{Deserialize, Serialize};
 
-use crate::interface::*;
-use crate::policy::Balancer;
-use crate::settings::{need, set_figure, Env, Listed, Names, Numbering};
+use merlinfold_decide::interface::*;
+use merlinfold_decide::policy::Balancer;
+use merlinfold_settings::{need, set_figure, Env, Listed, Names, Numbering};
 
 /// A line of input. One flat record: which fields a message needs is checked where it is used.
 #[derive(Deserialize)]
--- a/src/bin/merlinfold-drill.rs
+++ b/crates/drill/src/main.rs
@@ -4,7 +4,7 @@
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
-use merlinfold::wire::Host;
+use merlinfold_drill::Host;
 
 fn main() -> ExitCode {
     let mut input = io::BufReader::with_capacity(1 << 16, io::stdin().lock());
--- a/tests/adapter.rs
+++ b/crates/drill/tests/adapter.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::process::{Command, Stdio};
 
-use merlinfold::wire::Host;
+use merlinfold_drill::Host;
 
 const ENV: &str = r#"{"Balancers":2,"Categories":[{"Aim":200000000,"GiveUp":400000000,"Group":"zone","KeyTtl":1500000000,"LateValue":0.0,"Name":"read","Semantics":"repeatable","Stream":false,"Worth":1.0}],"Discovery":"push","Limits":{"MaxAttempts":3,"RetryAfter":true,"MaxRetryAfter":900000000},"Locality":"a","Me":1,"Obligations":{"ColdShare":0.2,"RampTime":10000000000,"FallMultiple":3.0,"TipAfter":1000000000},"Zones":["a","b"],"Novelty":{"x":[1]}}"#;
 const LIST: &str = r#"{"msg":"Directory","Table":0,"NodesList":[{"Server":"10.0.0.1:80","RackZone":"a","ClassOfHost":"k","Pack":0,"Readiness":"Running","Rating":1}]}"#;
--- a/src/net/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -11,7 +11,6 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{watch, Notify};
@@ -19,8 +18,8 @@
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
-use super::driver::Input;
-use crate::interface::Readiness;
+use crate::input::Input;
+use crate::list::List;
 
 const WAIT: Duration = Duration::from_secs(5); // that a watch asks for
 const PATIENCE: Duration = Duration::from_secs(2); // beyond that, for any call
@@ -28,49 +27,6 @@
 const DOUBLINGS: u32 = 5;
 const LIST_MOST: usize = 8 << 20; // bytes
 
-/// An answer of discovery.
-#[derive(Debug, Default, Deserialize)]
-pub struct List {
-    index: u64,
-    /// The whole list, which replaces the one before; else changes of it.
-    pub snapshot: bool,
-    pub endpoints: Vec<Endpoint>,
-}
-
-/// A server as discovery writes it.
-#[derive(Debug, Deserialize)]
-pub struct Endpoint {
-    pub name: String,
-    pub address: SocketAddr,
-    pub zone: Option<String>,
-    #[serde(rename = "type")]
-    pub kind: Option<String>,
-    pub group: Option<u64>,
-    pub status: State,
-    pub weight: Option<f64>,
-    /// Unix time.
-    #[serde(default)]
-    pub since_ms: u64,
-}
-
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum State {
-    InService,
-    Terminating,
-    Terminated,
-}
-
-impl From<State> for Readiness {
-    fn from(state: State) -> Self {
-        match state {
-            State::InService => Readiness::Ready,
-            State::Terminating => Readiness::Draining,
-            State::Terminated => Readiness::Gone,
-        }
-    }
-}
-
 /// Asks and watches. Where discovery is asked, it starts anew only when the module says so.
 pub struct Watcher {
     address: watch::Receiver<SocketAddr>,
--- a/src/net/driver.rs
+++ b/crates/node/src/driver.rs
@@ -10,13 +10,14 @@
 use tokio::time::timeout_at;
 use tracing::{debug, info, warn};
 
-use super::discovery::{Endpoint, List};
-use super::peers::Peers;
-use super::upstream::{Answer, Attempt, Ended, Outgoing, Pool, Server};
-use super::Clock;
-use crate::interface::*;
-use crate::policy::Balancer;
-use crate::settings::{HostLimits, Listed, Names};
+use crate::clock::Clock;
+use crate::input::{Arrival, Input, Reply};
+use crate::list::{Endpoint, List};
+use crate::peers::Peers;
+use crate::upstream::{Attempt, Ended, Outgoing, Pool, Server};
+use merlinfold_decide::interface::*;
+use merlinfold_decide::policy::Balancer;
+use merlinfold_settings::{HostLimits, Listed, Names};
 
 const MARGIN: Nanos = 5_000_000; // before the client's time runs out, for the answer's way back
 const BACKSTOP: Nanos = 2_000_000; // after the module's time is over; within the margin
@@ -24,38 +25,6 @@
 const BATCH: usize = 256; // inputs taken at once
 const REPORT_EVERY: Nanos = 5_000_000_000; // between log lines on answers and attempts
 
-/// What the other parts report.
-pub enum Input {
-    Request(Arrival),
-    Gone(RequestId),
-    Ended { id: RequestId, attempt: u32, ended: Ended },
-    List(List),
-    ListFailed,
-    Peer { from: u32, bytes: Vec<u8> },
-}
-
-/// A client's request.
-pub struct Arrival {
-    pub id: RequestId,
-    pub class: usize,
-    pub tenant: Option<usize>,
-    pub key: Option<u64>,
-    pub cost_hint: Option<Nanos>,
-    pub repeat: bool,
-    /// When the client stops waiting.
-    pub expires: Nanos,
-    pub outgoing: Arc<Outgoing>,
-    pub client: oneshot::Sender<Reply>,
-}
-
-/// A final answer.
-#[derive(Debug)]
-pub enum Reply {
-    Served(Answer),
-    Refused { retry_after: Nanos },
-    Failed,
-}
-
 /// A request in the table: until it is answered and its last attempt has ended.
 struct Open {
     client: Option<oneshot::Sender<Reply>>, // none once the final answer is given or nobody waits for it
@@ -463,8 +432,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::settings::Env;
     use hyper::{HeaderMap, Method, Uri};
+    use merlinfold_settings::Env;
     use serde_json::{from_value, json};
     use std::net::SocketAddr;
     use std::time::{Duration, SystemTime, UNIX_EPOCH};
--- a/src/net/front.rs
+++ b/crates/node/src/front.rs
@@ -20,11 +20,11 @@
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 use tracing::{info, warn};
 
-use super::driver::{Arrival, Input, Reply};
-use super::upstream::Outgoing;
-use super::{Clock, BODY_MOST};
-use crate::interface::{Nanos, RequestId, Settings};
-use crate::settings::{Names, Numbering};
+use crate::clock::Clock;
+use crate::input::{Arrival, Input, Reply};
+use crate::upstream::{Outgoing, BODY_MOST};
+use merlinfold_decide::interface::{Nanos, RequestId, Settings};
+use merlinfold_settings::{Names, Numbering};
 
 /// For a whole head, from the connection's start or the last answer. Whoever sends no proper request is owed
 /// a close within 3 s of connecting, and a connection without an open request may be closed after 2 s.
@@ -350,7 +350,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::interface::{Class, Effect, Placement};
+    use merlinfold_decide::interface::{Class, Effect, Placement};
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
     /// What a peer gets that sends this and then nothing more, and after which time the connection ends.
--- /dev/null
+++ b/crates/node/src/input.rs
@@ -0,0 +1,41 @@
+//! What the parts around the driver report to it, and what it answers a client.
+
+use std::sync::Arc;
+
+use merlinfold_decide::interface::{Nanos, RequestId};
+use tokio::sync::oneshot;
+
+use crate::list::List;
+use crate::upstream::{Answer, Ended, Outgoing};
+
+/// What the other parts report.
+pub enum Input {
+    Request(Arrival),
+    Gone(RequestId),
+    Ended { id: RequestId, attempt: u32, ended: Ended },
+    List(List),
+    ListFailed,
+    Peer { from: u32, bytes: Vec<u8> },
+}
+
+/// A client's request.
+pub struct Arrival {
+    pub id: RequestId,
+    pub class: usize,
+    pub tenant: Option<usize>,
+    pub key: Option<u64>,
+    pub cost_hint: Option<Nanos>,
+    pub repeat: bool,
+    /// When the client stops waiting.
+    pub expires: Nanos,
+    pub outgoing: Arc<Outgoing>,
+    pub client: oneshot::Sender<Reply>,
+}
+
+/// A final answer.
+#[derive(Debug)]
+pub enum Reply {
+    Served(Answer),
+    Refused { retry_after: Nanos },
+    Failed,
+}
--- a/src/net/mod.rs
+++ b/crates/node/src/lib.rs
@@ -1,8 +1,11 @@
 //! The real node: the decision module on sockets. Each part reports to the driver by messages.
 
+mod clock;
 mod discovery;
 mod driver;
 mod front;
+mod input;
+mod list;
 mod peers;
 mod upstream;
 
@@ -10,20 +13,17 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use serde::Deserialize;
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::sync::{mpsc, watch};
-use tokio::time::Instant;
 use tracing::info;
 
-use crate::interface::{Discovery, Nanos, Settings};
-use crate::policy::Balancer;
-use crate::settings::{Env, HostLimits, Names};
+use crate::clock::Clock;
+use merlinfold_decide::interface::{Discovery, Settings};
+use merlinfold_decide::policy::Balancer;
+use merlinfold_settings::{Env, HostLimits, Names};
 
-/// Most bytes that a body may have, either way.
-const BODY_MOST: usize = 64 << 10;
 const BACKLOG: u32 = 1024; // connections that the kernel holds until they are accepted
 const CLIENTS_PART: usize = 3; // one descriptor in so many may be held by clients
 const SOCKETS_LEAST: usize = 64; // descriptors below which no useful node fits
@@ -41,7 +41,7 @@
     #[serde(default)]
     peers: Vec<SocketAddr>,
     peers_all: Option<SocketAddr>,
-    known: Option<discovery::List>,
+    known: Option<list::List>,
     settings: Env,
 }
 
@@ -57,6 +57,15 @@
         serde_path_to_error::deserialize(from).map_err(|error| error.to_string())
     }
 
+    /// Whether a node could start from this text, short of opening its sockets. The error starts with the
+    /// line, where the text itself is at fault, and names the field.
+    pub fn validate(text: &str) -> Result<(), String> {
+        let from = &mut serde_json::Deserializer::from_str(text);
+        let read: Result<Config, _> = serde_path_to_error::deserialize(from);
+        let config = read.map_err(|error| format!("{}: {error}", error.inner().line()))?;
+        config.check(&mut Names::default()).map(drop).map_err(|fault| format!(" {fault}"))
+    }
+
     /// Whether a node could start from it, short of opening its sockets.
     fn check(&self, names: &mut Names) -> Result<(HostLimits, Settings, u64), String> {
         let in_settings = |fault| format!("settings: {fault}");
@@ -86,34 +95,12 @@
     }
 }
 
-/// The module's clock: Unix time at the start, which from then on only goes forward.
-#[derive(Clone, Copy)]
-struct Clock {
-    start: Instant,
-    unix: Nanos,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix: unix.as_nanos() as Nanos }
-    }
-
-    fn now(&self) -> Nanos {
-        self.unix + self.start.elapsed().as_nanos() as Nanos
-    }
-
-    fn instant(&self, at: Nanos) -> Instant {
-        self.start + Duration::from_nanos(at.saturating_sub(self.unix))
-    }
-}
-
 /// A node whose sockets are open.
 pub struct Node {
     listener: TcpListener,
     front: front::Front,
     driver: driver::Driver,
-    inputs: mpsc::UnboundedReceiver<driver::Input>,
+    inputs: mpsc::UnboundedReceiver<input::Input>,
     peers: Option<peers::Peers>,
     discovery: discovery::Watcher,
     moves: watch::Sender<SocketAddr>,
--- a/src/net/peers.rs
+++ b/crates/node/src/peers.rs
@@ -7,8 +7,8 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tracing::debug;
 
-use super::driver::Input;
-use crate::interface::MESSAGE_MOST;
+use crate::input::Input;
+use merlinfold_decide::interface::MESSAGE_MOST;
 
 /// The node's socket and the addresses of the others, in the order of their numbers.
 #[derive(Clone)]
--- a/src/net/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -23,10 +23,12 @@
 use tokio::task::{yield_now, AbortHandle};
 use tokio::time::{timeout, timeout_at, Duration};
 
-use super::{Clock, BODY_MOST};
-use crate::interface::{LoadReport, Nanos, ServerId, Status};
-use crate::settings::{set_figure, HostLimits};
+use crate::clock::Clock;
+use merlinfold_decide::interface::{LoadReport, Nanos, ServerId, Status};
+use merlinfold_settings::{set_figure, HostLimits};
 
+/// Most bytes that a body may have, either way.
+pub const BODY_MOST: usize = 64 << 10;
 const IDLE_SHARE: f64 = 0.8; // of a server's idle timeout, after which a connection is not used again
 const DRAIN_SHARE: f64 = 0.8; // of the grace, after which nothing is written to a draining server
 
--- a/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -10,7 +10,7 @@
 
 use serde::Deserialize;
 
-use crate::interface::*;
+use merlinfold_decide::interface::*;
 
 /// The settings object, as it is written.
 #[derive(Debug, Deserialize)]
