--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,245 @@
+//! The `merlinfold-lab` command.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Args, Parser, Subcommand};
+use indicatif::{ProgressBar, ProgressStyle};
+use merlinfold_lab::compare::paired;
+use merlinfold_lab::play::{play, Plan, Played};
+use merlinfold_lab::process::NodeCommand;
+use merlinfold_lab::{experiments, html};
+use tokio::signal::unix::{signal, SignalKind};
+
+/// Plays days of traffic and trouble against real nodes on loopback, and says what was served and which
+/// rules were kept.
+#[derive(Debug, Parser)]
+#[command(
+    name = "merlinfold-lab",
+    version,
+    after_help = "Exit codes: 0 all rules kept, 1 a rule broken or the run failed, 2 usage, 3 void: the lab \
+                  itself could not keep time."
+)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// A short day with a crash and a drain against three nodes; leaves its page in the temporary folder.
+    Demo(Common),
+    /// Play one experiment.
+    Run {
+        /// The name of a kept experiment, or a file.
+        experiment: String,
+        #[command(flatten)]
+        common: Common,
+        /// Write the report as JSON.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+        /// Write the report as one page.
+        #[arg(long, value_name = "FILE")]
+        html: Option<PathBuf>,
+        /// Keep the configurations and logs of the nodes in this folder.
+        #[arg(long, value_name = "FOLDER")]
+        logs: Option<PathBuf>,
+    },
+    /// Play two builds in turn on the same days and print the paired difference.
+    Compare {
+        /// Command of the first node; `own` for this build.
+        a: String,
+        /// Command of the second.
+        b: String,
+        /// Experiments to play, by name or file.
+        #[arg(long = "on", value_name = "EXPERIMENT", default_value = "calm")]
+        experiments: Vec<String>,
+        /// Seeds to play of each: 1, 2, 3 ...
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=100))]
+        seeds: u64,
+    },
+    /// List the kept experiments and what they ask.
+    List,
+    /// This program as a node, which is what the lab starts.
+    #[command(hide = true)]
+    Node,
+}
+
+#[derive(Debug, Args)]
+struct Common {
+    /// Seed of all that is drawn; else the experiment's own.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Command of a node; else this build's own.
+    #[arg(long, value_name = "COMMAND")]
+    node: Option<String>,
+}
+
+/// Exit code of a run that the lab could not keep time for.
+const VOID: u8 = 3;
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
+    let ended = match cli.command {
+        Command::Node => merlinfold_node::process::run().map(|()| ExitCode::SUCCESS),
+        Command::List => experiments::KEPT
+            .iter()
+            .try_for_each(|(name, _)| {
+                experiments::find(name).map(|day| println!("{name:<30} {}", day.question))
+            })
+            .map(|()| ExitCode::SUCCESS),
+        other => runtime().and_then(|runtime| runtime.block_on(until_ended(other))),
+    };
+    ended.unwrap_or_else(|fault| {
+        eprintln!("merlinfold-lab: {fault}");
+        ExitCode::FAILURE
+    })
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|error| format!("runtime: {error}"))
+}
+
+/// A signal ends the run; whatever was started ends with it.
+async fn until_ended(command: Command) -> Result<ExitCode, String> {
+    let cannot = |error| format!("signals: {error}");
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(cannot)?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(cannot)?;
+    tokio::select! {
+        ended = carry_out(command) => ended,
+        _ = interrupt.recv() => Err("interrupted".to_owned()),
+        _ = terminate.recv() => Err("told to end".to_owned()),
+    }
+}
+
+fn command(words: Option<&str>) -> Result<NodeCommand, String> {
+    match words {
+        None | Some("own") => NodeCommand::own(),
+        Some(words) => NodeCommand::of(words),
+    }
+}
+
+async fn carry_out(told: Command) -> Result<ExitCode, String> {
+    match told {
+        Command::Demo(common) => {
+            let page = std::env::temp_dir().join("merlinfold-lab-demo.html");
+            run("demo", &common, None, Some(page), None).await
+        }
+        Command::Run { experiment, common, json, html, logs } => {
+            run(&experiment, &common, json, html, logs).await
+        }
+        Command::Compare { a, b, experiments, seeds } => compare(&a, &b, &experiments, seeds).await,
+        Command::List | Command::Node => Ok(ExitCode::SUCCESS),
+    }
+}
+
+async fn one(plan: Plan) -> Result<Played, String> {
+    // Drawn on a terminal only.
+    let bar = ProgressBar::new((plan.day.seconds * 1e3) as u64);
+    if let Ok(style) = ProgressStyle::with_template("{msg} {wide_bar} {percent}%") {
+        bar.set_style(style);
+    }
+    bar.set_message(format!("{} (seed {})", plan.name, plan.day.seed));
+    let played = play(plan, |passed: Duration| bar.set_position(passed.as_millis() as u64)).await;
+    bar.finish_and_clear();
+    played
+}
+
+async fn run(
+    name: &str, common: &Common, json: Option<PathBuf>, html: Option<PathBuf>, logs: Option<PathBuf>,
+) -> Result<ExitCode, String> {
+    let mut day = experiments::find(name)?;
+    day.seed = common.seed.unwrap_or(day.seed);
+    let plan = Plan { name: name.to_owned(), day, nodes: command(common.node.as_deref())?, logs };
+    let Played { report, breaches, tails } = one(plan).await?;
+    println!("{name}: {} Seed {}, nodes: {}.", report.question, report.seed, report.nodes);
+    print!("{}", report.table());
+    let classes: Vec<String> = report.classes.iter().map(|(name, w)| format!("{name} {w:.3}")).collect();
+    println!("worth served {:.3} ({})", report.whole.worth_served, classes.join(", "));
+    for (node, used) in report.usage.iter().enumerate() {
+        println!(
+            "node {node}: {:.1} MB, {} descriptors, {:.2} s of processor",
+            used.memory_mb, used.descriptors, used.cpu_s
+        );
+    }
+    let [median, p99, most] = report.lab.lateness_ms;
+    println!("the lab's own lateness: median {median:.2} ms, p99 {p99:.2} ms, most {most:.2} ms");
+    tails.iter().for_each(|tail| println!("{tail}"));
+    breaches.iter().for_each(|breach| println!("BROKEN {breach}"));
+    let written = |path: &PathBuf, text: String| {
+        std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))
+    };
+    if let Some(path) = json {
+        let text = serde_json::to_string_pretty(&report).map_err(|error| format!("report: {error}"))?;
+        written(&path, text)?;
+    }
+    if let Some(path) = html {
+        written(&path, html::page(&report)?)?;
+        println!("page: {}", path.display());
+    }
+    if let Some(void) = report.lab.void {
+        println!("VOID {void}");
+        return Ok(ExitCode::from(VOID));
+    }
+    println!("{}", if breaches.is_empty() { "all rules kept" } else { "rules were broken" });
+    Ok(if breaches.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+async fn compare(a: &str, b: &str, names: &[String], seeds: u64) -> Result<ExitCode, String> {
+    let commands = [command(Some(a))?, command(Some(b))?];
+    let (mut all, mut void) = (Vec::new(), 0);
+    println!(
+        "{:<30} {:>4}  {:>7} {:>7} {:>8}  {:>8} {:>8}  broken A B",
+        "experiment", "seed", "A", "B", "B - A", "refused A", "refused B"
+    );
+    for name in names {
+        let mut pairs = Vec::new();
+        for seed in 1..=seeds {
+            let mut both = Vec::new();
+            // Which goes first changes with the seed, so that a machine that tires favours neither.
+            let order = if seed % 2 == 1 { [0, 1] } else { [1, 0] };
+            for side in order {
+                let mut day = experiments::find(name)?;
+                day.seed = seed;
+                let plan = Plan { name: name.clone(), day, nodes: commands[side].clone(), logs: None };
+                let played = one(plan).await?;
+                both.push((side, played));
+            }
+            both.sort_by_key(|(side, _)| *side);
+            let figures: Vec<_> = both.iter().map(|(_, played)| &played.report).collect();
+            if figures.iter().any(|report| report.lab.void.is_some()) {
+                println!("{name:<30} {seed:>4}  void");
+                void += 1;
+                continue;
+            }
+            let worth = (figures[0].whole.worth_served, figures[1].whole.worth_served);
+            let refused =
+                |n: usize| 100.0 * figures[n].whole.refused as f64 / figures[n].whole.asked.max(1) as f64;
+            println!(
+                "{name:<30} {seed:>4}  {:>7.3} {:>7.3} {:>+8.3}  {:>8.1}% {:>8.1}%  {} {}",
+                worth.0,
+                worth.1,
+                worth.1 - worth.0,
+                refused(0),
+                refused(1),
+                both[0].1.breaches.len(),
+                both[1].1.breaches.len()
+            );
+            pairs.push(worth);
+        }
+        if let Some(of) = paired(&pairs) {
+            println!(
+                "{name:<30} B - A {:+.3}, deviation {:.3}, from {:+.3} to {:+.3}",
+                of.mean, of.deviation, of.range.0, of.range.1
+            );
+        }
+        all.extend(pairs);
+    }
+    if let Some(of) = paired(&all).filter(|_| names.len() > 1) {
+        println!("all: B - A {:+.3}, deviation {:.3}", of.mean, of.deviation);
+    }
+    Ok(if void > 0 { ExitCode::from(VOID) } else { ExitCode::SUCCESS })
+}
--- /dev/null
+++ b/crates/lab/src/servers.rs
@@ -0,0 +1,508 @@
+//! Guide servers and discovery on sockets, in a thread of their own.
+//!
+//! Each pair of node and server has an address of its own, so a connection's address tells who asks. What
+//! the models say is carried out here; every request that arrives whole is written down.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use merlinfold_world::discovery::{Listing, Status};
+use merlinfold_world::experiment::Experiment;
+use merlinfold_world::fleet::{Effect, Fleet};
+use merlinfold_world::ledger::{told_by_default, Run, Told};
+use merlinfold_world::report::{histogram, micros};
+use merlinfold_world::seed::{mix, Seed};
+use merlinfold_world::server::{Arrival, Done, Reply};
+use merlinfold_world::trouble::Change;
+use merlinfold_world::{Nanos, MS};
+use serde_json::Value;
+use socket2::SockRef;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{sleep, timeout};
+
+use crate::http::{answer, Message, Reader, Side};
+use crate::net::Range;
+use crate::platform;
+use crate::time::{Clock, Timer};
+
+const BACKLOG: u32 = 1_024;
+/// Work of a request that states none, which only a stranger's does.
+const UNSTATED: Nanos = MS;
+
+/// What discovery shows counts as told after this, whether a node listened or not.
+const TOLD_LATEST: Nanos = 6_000 * MS;
+
+/// What a connection to a server may do at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Gate {
+    Open,
+    Silent,
+    /// Counts up with each reset: whoever has seen another number is cut off.
+    Closed,
+}
+
+/// What a guide server makes of a request: proof that it saw this very id.
+pub fn body(id: u64) -> String {
+    format!("{id:016x} {:016x}", mix(id ^ 0x5EED_0F6D_1DE5))
+}
+
+/// All that the threads of a run share of the servers.
+pub struct Hub {
+    day: Experiment,
+    fleet: Fleet,
+    clock: Clock,
+    range: Arc<Range>,
+    gates: Vec<watch::Sender<(Gate, u64)>>,
+    listeners: Vec<Vec<AbortHandle>>, // of each server, one for each node
+    waiting: HashMap<u64, (usize, oneshot::Sender<Done>)>, // by attempt: its line in `runs`
+    calls: HashMap<u64, oneshot::Sender<Option<Listing>>>,
+    known_since: BTreeMap<(usize, usize), Nanos>, // by node and server: the last start that it was told of
+    runs: Vec<Run>,
+    told: Vec<Told>,
+    next: u64,
+    effects: Vec<Effect>,
+    changes: mpsc::UnboundedSender<(Nanos, Change)>,
+    reopen: mpsc::UnboundedSender<usize>,
+    timer: Timer,
+    late: Histogram<u64>,
+}
+
+/// A handle on the servers.
+#[derive(Clone)]
+pub struct Servers(Arc<Mutex<Hub>>);
+
+/// What the servers saw.
+pub struct Seen {
+    /// Attempts.
+    pub runs: Vec<Run>,
+    /// What nodes were told.
+    pub told: Vec<Told>,
+    /// Servers that fell over.
+    pub falls: Vec<(usize, merlinfold_world::server::Fall)>,
+    /// Lateness of the thread's timer, in microseconds.
+    pub late: Histogram<u64>,
+}
+
+impl Servers {
+    /// Opens all sockets in a thread of their own; what concerns others goes to `changes`.
+    pub fn start(
+        day: &Experiment, seed: Seed, clock: &Clock, range: &Arc<Range>,
+        changes: mpsc::UnboundedSender<(Nanos, Change)>,
+    ) -> Result<(Self, oneshot::Sender<()>), String> {
+        let wake = Arc::new(Notify::new());
+        let (reopen, reopened) = mpsc::unbounded_channel();
+        let count = day.servers();
+        let hub = Hub {
+            day: day.clone(),
+            fleet: Fleet::new(day, seed),
+            clock: clock.clone(),
+            range: range.clone(),
+            gates: (0..count).map(|_| watch::channel((Gate::Open, 0)).0).collect(),
+            listeners: (0..count).map(|_| Vec::new()).collect(),
+            waiting: HashMap::new(),
+            calls: HashMap::new(),
+            known_since: BTreeMap::new(),
+            runs: Vec::new(),
+            told: Vec::new(),
+            next: 0,
+            effects: Vec::new(),
+            changes,
+            reopen,
+            timer: Timer::new(clock.clone(), wake.clone()),
+            late: histogram(),
+        };
+        let servers = Servers(Arc::new(Mutex::new(hub)));
+        let (stop, stopped) = oneshot::channel::<()>();
+        let (ready, is_ready) = std::sync::mpsc::channel();
+        let of_thread = servers.clone();
+        std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            match runtime {
+                Err(error) => drop(ready.send(Err(format!("runtime: {error}")))),
+                Ok(runtime) => runtime.block_on(of_thread.run(ready, reopened, wake, stopped)),
+            }
+        });
+        is_ready.recv().map_err(|_| "the servers' thread has ended".to_owned())??;
+        Ok((servers, stop))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Hub> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn run(
+        self, ready: std::sync::mpsc::Sender<Result<(), String>>,
+        mut reopened: mpsc::UnboundedReceiver<usize>, wake: Arc<Notify>, mut stopped: oneshot::Receiver<()>,
+    ) {
+        let (servers, nodes) = {
+            let hub = self.lock();
+            (hub.day.servers(), hub.day.nodes.count)
+        };
+        let mut tasks = JoinSet::new();
+        let opened = (0..servers).try_for_each(|server| self.listen(server)).and_then(|()| {
+            (0..nodes).try_for_each(|node| {
+                let at = self.lock().range.discovery(node);
+                let listener = bind(at)?;
+                tasks.spawn(self.clone().discovery(node, listener));
+                Ok(())
+            })
+        });
+        let fine = opened.is_ok();
+        let _ = ready.send(opened);
+        if !fine {
+            return;
+        }
+        loop {
+            tokio::select! {
+                () = wake.notified() => self.tick(),
+                Some(server) = reopened.recv() => {
+                    if let Err(fault) = self.listen(server) {
+                        tracing::warn!(fault, "a server's address could not be opened again");
+                    }
+                }
+                _ = &mut stopped => return,
+            }
+        }
+    }
+
+    /// Lets the models take note of the time.
+    pub fn tick(&self) {
+        let mut hub = self.lock();
+        if !hub.clock.started() {
+            return;
+        }
+        let now = hub.clock.now();
+        if let Some(due) = hub.fleet.next_due().filter(|&due| due <= now) {
+            hub.late.saturating_record(micros(now - due));
+        }
+        hub.act(|fleet, effects| fleet.advance(now, effects));
+    }
+
+    /// The list for a node that starts now, which thereby knows it.
+    pub fn known(&self, node: usize) -> Value {
+        let mut hub = self.lock();
+        let listing = hub.fleet.list();
+        hub.known_since.retain(|&(of, _), _| of != node);
+        hub.note(node, &listing);
+        platform::list(&hub.day, &listing, node, &hub.range, &hub.clock)
+    }
+
+    /// What has been seen so far.
+    pub fn seen(&self) -> Seen {
+        let mut hub = self.lock();
+        let falls = hub.fleet.servers().iter().enumerate().filter_map(|(n, s)| s.fallen().map(|f| (n, f)));
+        let falls = falls.collect();
+        let mut told = std::mem::take(&mut hub.told);
+        told_by_default(&mut told, hub.fleet.shown(), hub.day.nodes.count, TOLD_LATEST);
+        Seen { runs: std::mem::take(&mut hub.runs), told, falls, late: hub.late.clone() }
+    }
+
+    /// Opens a server's address at every node.
+    fn listen(&self, server: usize) -> Result<(), String> {
+        let nodes = self.lock().day.nodes.count;
+        for node in 0..nodes {
+            let at = self.lock().range.server(node, server);
+            let task = tokio::spawn(self.clone().accept(node, server, bind(at)?));
+            self.lock().listeners[server].push(task.abort_handle());
+        }
+        Ok(())
+    }
+
+    async fn accept(self, node: usize, server: usize, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let (gate, taken) = {
+                        let mut hub = self.lock();
+                        (hub.gates[server].subscribe(), hub.fleet.open(server))
+                    };
+                    tokio::spawn(self.clone().connection(node, server, stream, gate, taken));
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "accept");
+                    sleep(Duration::from_millis(10)).await;
+                }
+            }
+        }
+    }
+
+    async fn connection(
+        self, node: usize, server: usize, mut stream: TcpStream, mut gate: watch::Receiver<(Gate, u64)>,
+        taken: bool,
+    ) {
+        let number = gate.borrow().1;
+        let _ = stream.set_nodelay(true);
+        let ended = self.serve(node, server, &mut stream, &mut gate, taken).await;
+        if taken && gate.borrow().1 == number {
+            self.lock().fleet.closed(server); // a server that died has forgotten all of them
+        }
+        if ended == Ending::Reset {
+            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO)); // the close becomes a reset
+        }
+    }
+
+    async fn serve(
+        &self, node: usize, server: usize, stream: &mut TcpStream, gate: &mut watch::Receiver<(Gate, u64)>,
+        taken: bool,
+    ) -> Ending {
+        let mut reader = Reader::default();
+        let idle = self.lock().fleet.servers()[server].idle_time();
+        let mut fresh = true;
+        loop {
+            if gate.borrow_and_update().0 == Gate::Silent {
+                tokio::select! {
+                    changed = gate.changed() => if changed.is_err() { return Ending::Reset },
+                }
+                continue;
+            }
+            if gate.borrow().0 == Gate::Closed {
+                return Ending::Reset;
+            }
+            let request = tokio::select! {
+                read = timeout(Duration::from_nanos(idle), reader.next(stream, Side::Server)) => match read {
+                    Ok(Ok(Some(request))) => request,
+                    _ => return Ending::Close,
+                },
+                changed = gate.changed() => match changed {
+                    Ok(()) => continue,
+                    Err(_) => return Ending::Reset,
+                },
+            };
+            if !taken {
+                let _ = stream.write_all(&turned_away()).await;
+                return Ending::Close;
+            }
+            let Some((job, id, done)) = self.arrived(node, server, &request, std::mem::take(&mut fresh))
+            else {
+                let _ = stream.write_all(&answer(404, "", "")).await;
+                return Ending::Close;
+            };
+            let Some(done) = self.outcome(server, job, done, stream, &mut reader, gate).await else {
+                return Ending::Close;
+            };
+            let text = match done.reply {
+                Reply::Served => answer(200, "Content-Type: text/plain\r\n", &body(id)),
+                Reply::Error => answer(500, "", "error"),
+                Reply::TurnedAway => turned_away(),
+                Reply::Reset => return Ending::Reset,
+                Reply::Cut => {
+                    let whole = answer(200, "", &body(id));
+                    let _ = stream.write_all(&whole[..whole.len() - 5]).await;
+                    return Ending::Close;
+                }
+                Reply::Malformed => {
+                    let _ = stream.write_all(b"HTTP/1.1 2OO\x00 nonsense\r\n\r\n").await;
+                    return Ending::Close;
+                }
+                Reply::Silence => continue, // whoever asked learns nothing, and closes when it has had enough
+            };
+            if stream.write_all(&text).await.is_err() {
+                return Ending::Close;
+            }
+        }
+    }
+
+    /// Waits for the end of an attempt; none if whoever sent it closed the connection first.
+    async fn outcome(
+        &self, server: usize, job: u64, mut done: oneshot::Receiver<Done>, stream: &mut TcpStream,
+        reader: &mut Reader, gate: &mut watch::Receiver<(Gate, u64)>,
+    ) -> Option<Done> {
+        loop {
+            tokio::select! {
+                biased;
+                // An attempt whose answer never comes has no sender any more: only the other side ends it.
+                ended = &mut done => match ended {
+                    Ok(done) if done.reply != Reply::Silence => return Some(done),
+                    _ => loop {
+                        tokio::select! {
+                            read = reader.fill(stream) => if !matches!(read, Ok(1..)) { return None },
+                            changed = gate.changed() => {
+                                if changed.is_err() || gate.borrow().0 == Gate::Closed { return None }
+                            }
+                        }
+                    },
+                },
+                read = reader.fill(stream) => if !matches!(read, Ok(1..)) {
+                    let mut hub = self.lock();
+                    let now = hub.clock.now();
+                    hub.act(|fleet, effects| fleet.abandoned(now, server, job, effects));
+                    return None;
+                },
+            }
+        }
+    }
+
+    /// Writes an arrival down and hands it to its server; none if it is no request of the protocol's.
+    fn arrived(
+        &self, node: usize, server: usize, request: &Message, fresh: bool,
+    ) -> Option<(u64, u64, oneshot::Receiver<Done>)> {
+        let id = u64::from_str_radix(request.header("x-txn")?, 16).ok()?;
+        let class = request.header("x-lane").and_then(|name| self.lock().day.class(name))?;
+        let stated = request.query("work").and_then(|work| work.parse().ok());
+        let remaining: Nanos = request.header("x-remaining-ms").and_then(|ms| ms.parse().ok()).unwrap_or(0);
+        let (sender, done) = oneshot::channel();
+        let mut hub = self.lock();
+        let now = hub.clock.now();
+        hub.next += 1;
+        let job = hub.next;
+        let since = hub.fleet.since(server);
+        let told = hub.known_since.get(&(node, server)).is_some_and(|&known| known >= since);
+        let line = hub.runs.len();
+        hub.runs.push(Run { id, node, server, arrived: now, ended: None, reply: None, ran: false });
+        hub.waiting.insert(job, (line, sender));
+        let work = stated.unwrap_or(UNSTATED);
+        let arrival = Arrival { job, class, work, expires: now + remaining * MS, fresh, told };
+        hub.act(|fleet, effects| fleet.request(now, server, arrival, effects));
+        Some((job, id, done))
+    }
+
+    async fn discovery(self, node: usize, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => drop(tokio::spawn(self.clone().list_calls(node, stream))),
+                Err(_) => sleep(Duration::from_millis(10)).await,
+            }
+        }
+    }
+
+    async fn list_calls(self, node: usize, mut stream: TcpStream) {
+        let mut reader = Reader::default();
+        let _ = stream.set_nodelay(true);
+        while let Ok(Some(request)) = reader.next(&mut stream, Side::Server).await {
+            if !request.target.1.starts_with("/registry/instances") {
+                let _ = stream.write_all(&answer(404, "", "")).await;
+                return;
+            }
+            let number = |name| request.query(name).and_then(|value| value.parse::<u64>().ok());
+            let watch = number("index").map(|index| (index, number("wait").unwrap_or(0).min(60_000) * MS));
+            let (call, told) = self.call(watch);
+            let listing = tokio::select! {
+                listing = told => listing.ok().flatten(),
+                read = reader.fill(&mut stream) => {
+                    let _ = read; // one call at a time: whatever comes meanwhile ends it
+                    let mut hub = self.lock();
+                    hub.calls.remove(&call);
+                    hub.fleet.call_left(call);
+                    return;
+                }
+            };
+            let text = match listing {
+                None => answer(503, "", ""),
+                Some(listing) => {
+                    let mut hub = self.lock();
+                    hub.note(node, &listing);
+                    let list = platform::list(&hub.day, &listing, node, &hub.range, &hub.clock);
+                    answer(200, "Content-Type: application/json\r\n", &list.to_string())
+                }
+            };
+            if stream.write_all(&text).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn call(&self, watch: Option<(u64, Nanos)>) -> (u64, oneshot::Receiver<Option<Listing>>) {
+        let (sender, told) = oneshot::channel();
+        let mut hub = self.lock();
+        hub.next += 1;
+        let (call, now) = (hub.next, hub.clock.now());
+        hub.calls.insert(call, sender);
+        hub.act(|fleet, effects| fleet.call(now, call, watch, effects));
+        (call, told)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    Close,
+    Reset,
+}
+
+fn turned_away() -> Vec<u8> {
+    answer(503, "X-Turned-Away: 1\r\n", "")
+}
+
+fn bind(at: SocketAddr) -> Result<TcpListener, String> {
+    let open = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(at)?;
+        socket.listen(BACKLOG)
+    };
+    open().map_err(|error| format!("cannot listen on {at}: {error}"))
+}
+
+impl Hub {
+    /// Lets the models act, carries out what they say, and sets the timer.
+    fn act(&mut self, act: impl FnOnce(&mut Fleet, &mut Vec<Effect>)) {
+        let mut effects = std::mem::take(&mut self.effects);
+        act(&mut self.fleet, &mut effects);
+        for effect in effects.drain(..) {
+            self.carry_out(effect);
+        }
+        self.effects = effects;
+        self.timer.set(self.fleet.next_due());
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        let now = self.clock.now();
+        match effect {
+            Effect::Done(_, done) => {
+                if let Some((line, sender)) = self.waiting.remove(&done.job) {
+                    let run = &mut self.runs[line];
+                    run.ended = Some(now);
+                    run.ran = done.ran;
+                    run.reply = Some(done.reply);
+                    let _ = sender.send(done); // its connection may have ended
+                }
+            }
+            Effect::Refuse(server) => {
+                self.listeners[server].drain(..).for_each(|task| task.abort());
+                self.gates[server].send_modify(|gate| *gate = (Gate::Closed, gate.1 + 1));
+            }
+            Effect::Silence(server) => {
+                self.gates[server].send_modify(|gate| *gate = (Gate::Silent, gate.1 + 1));
+            }
+            Effect::Listen(server) => {
+                // Whatever a silent machine held is reset once it is back.
+                self.gates[server].send_modify(|gate| *gate = (Gate::Closed, gate.1 + 1));
+                self.listeners[server].drain(..).for_each(|task| task.abort());
+                self.gates[server] = watch::channel((Gate::Open, 0)).0;
+                let _ = self.reopen.send(server);
+            }
+            Effect::Told(answer) => {
+                if let Some(sender) = self.calls.remove(&answer.call) {
+                    let _ = sender.send(answer.listing);
+                }
+            }
+            Effect::Other(change) => {
+                let _ = self.changes.send((now, change));
+            }
+        }
+    }
+
+    /// Writes down what a node is told.
+    fn note(&mut self, node: usize, listing: &Listing) {
+        let at = self.clock.now();
+        for entry in &listing.entries {
+            self.told.push(Told { node, server: entry.server, status: entry.status, at });
+            let since = if entry.status == Status::InService { Some(entry.since) } else { None };
+            if let Some(since) = since {
+                self.known_since.insert((node, entry.server), since);
+            }
+        }
+        if listing.snapshot {
+            let listed: Vec<usize> = listing.entries.iter().map(|entry| entry.server).collect();
+            let gone = (0..self.day.servers()).filter(|server| !listed.contains(server));
+            let gone: Vec<usize> = gone.collect();
+            let told = |server| Told { node, server, status: Status::Terminated, at };
+            self.told.extend(gone.into_iter().map(told));
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/defects.rs
@@ -0,0 +1,98 @@
+//! The lab must be able to fail: doubles of a node with one defect each, and which law finds it.
+
+use merlinfold_lab::experiments;
+use merlinfold_lab::play::{play, Plan};
+use merlinfold_lab::process::NodeCommand;
+use merlinfold_world::experiment::{Experiment, Trouble, TroubleKind};
+use merlinfold_world::ledger::Law;
+
+/// A short day of one double; the laws that were broken.
+fn broken(defect: &str, change: impl FnOnce(&mut Experiment)) -> Vec<Law> {
+    let mut day = experiments::find("demo").unwrap();
+    day.seconds = 4.0;
+    day.load.of_capacity = 0.25;
+    day.troubles.clear();
+    // These runs share the machine with other tests: they are about laws, not about time.
+    day.rules.lateness_ms = 1e6;
+    day.rules.grace_ms = 250.0;
+    day.clients.retries = 1;
+    change(&mut day);
+    day.nodes.count = 1;
+    let double = env!("CARGO_BIN_EXE_merlinfold-lab-double");
+    let nodes = NodeCommand { words: vec![double.to_owned(), defect.to_owned()] };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let plan = Plan { name: defect.to_owned(), day, nodes, logs: None };
+    let played = runtime.block_on(play(plan, |_| ())).unwrap();
+    let mut laws: Vec<Law> = played.breaches.iter().map(|breach| breach.law).collect();
+    laws.dedup();
+    println!("{defect}: {:?}", played.breaches.iter().take(6).collect::<Vec<_>>());
+    laws
+}
+
+fn trouble(kind: TroubleKind, part: f64, size: f64) -> Trouble {
+    Trouble { kind, at_s: 0.5, for_s: 3.0, part, size: Some(size), class: None }
+}
+
+fn resets(day: &mut Experiment) {
+    day.troubles.push(trouble(TroubleKind::ResetAnswers, 1.0, 0.2));
+}
+
+fn drains(day: &mut Experiment) {
+    day.troubles.push(trouble(TroubleKind::DeployRoll, 0.5, 0.2));
+    day.discovery.late_ms = 20.0;
+}
+
+fn silent(day: &mut Experiment) {
+    day.troubles.push(trouble(TroubleKind::SilentPeers, 1.0, 20.0));
+    day.rules.bad_peer_ms = 2_500.0;
+}
+
+fn cold(day: &mut Experiment) {
+    day.troubles.push(Trouble { at_s: 0.2, for_s: 0.5, ..trouble(TroubleKind::Crash, 0.1, 1.0) });
+    (day.discovery.late_ms, day.discovery.silent_late_ms) = (20.0, 20.0);
+    for kind in &mut day.fleet.kinds {
+        (kind.build.queue, kind.build.fall_ms, kind.build.ramp_s) = (200, 500.0, 30.0);
+    }
+}
+
+macro_rules! caught {
+    ($($test:ident: $defect:literal, $change:expr, $law:ident;)*) => {$(
+        #[test]
+        fn $test() {
+            let laws = broken($defect, $change);
+            assert!(laws.contains(&Law::$law), "{laws:?}");
+        }
+    )*};
+}
+
+caught! {
+    a_second_answer_is_caught: "answers-twice", |_| (), AnsweredOnce;
+    a_resent_unsafe_request_is_caught: "resends", resets, UnsafeOnce;
+    sends_after_a_drain_notice_are_caught: "ignores-drains", drains, Drain;
+    a_refusal_held_back_is_caught: "holds-back", |_| (), HeldBack;
+    an_answer_that_no_server_made_is_caught: "makes-up", |_| (), Genuine;
+    a_request_closed_without_an_answer_is_caught: "loses", |_| (), Answered;
+    a_request_that_is_never_answered_is_caught: "forgets", |_| (), Answered;
+    a_request_that_no_client_sent_is_caught: "invents", |_| (), NoStranger;
+    a_refusal_of_what_may_have_run_is_caught: "refuses-run", resets, HonestRefusal;
+    attempts_without_end_are_caught: "tries-on", |_| (), Attempts;
+    a_flooded_cold_server_is_caught: "floods-cold", cold, Cold;
+    silent_peers_that_are_kept_are_caught: "keeps-silent", silent, BadPeers;
+    a_node_that_ends_by_itself_is_caught: "crashes", |_| (), Nodes;
+    a_node_that_is_never_ready_is_caught: "never-ready", |_| (), Nodes;
+    a_node_over_its_memory_is_caught: "hoards", |_| (), Nodes;
+    a_node_that_stays_after_sigterm_is_caught: "overstays", |_| (), Nodes;
+}
+
+/// Guards against a ledger that finds fault with everything: through each of those troubles, no law is broken.
+#[test]
+fn a_double_without_a_defect_breaks_no_law() {
+    for (name, change) in [
+        ("calm", (|_| ()) as fn(&mut Experiment)),
+        ("resets", resets),
+        ("drains", drains),
+        ("silent", silent),
+    ] {
+        assert_eq!(broken("none", change), [], "{name}");
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod input;
 mod list;
 mod peers;
+pub mod process;
 mod upstream;
 
 use std::future::Future;
--- /dev/null
+++ b/crates/node/src/process.rs
@@ -0,0 +1,44 @@
+//! A node as a process: reads its configuration, serves, reads it again on SIGHUP, and ends on SIGTERM when
+//! all is answered.
+
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tracing::warn;
+
+use crate::{Config, Node, Reloader};
+
+/// Serves from the file that `BALANCER_CONFIG` names until SIGTERM. Errors are one line that names what is
+/// missing or wrong.
+pub fn run() -> Result<(), String> {
+    let path = std::env::var("BALANCER_CONFIG").map_err(|error| format!("BALANCER_CONFIG: {error}"))?;
+    let text = read(&path)?;
+    let config = Config::parse(&text).map_err(|fault| format!("configuration: {fault}"))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|error| format!("runtime: {error}"))?.block_on(async {
+        let mut terminated = signal(SignalKind::terminate()).map_err(|error| format!("SIGTERM: {error}"))?;
+        let hangup = signal(SignalKind::hangup()).map_err(|error| format!("SIGHUP: {error}"))?;
+        let node = Node::bind(config).await.map_err(|fault| format!("configuration: {fault}"))?;
+        let stop = async move {
+            terminated.recv().await;
+        };
+        let reloads = reload(hangup, &path, node.reloader());
+        tokio::select! {
+            () = node.run(stop) => {}
+            () = reloads => {}
+        }
+        Ok(())
+    })
+}
+
+fn read(path: &str) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|error| format!("BALANCER_CONFIG: {path}: {error}"))
+}
+
+/// Reads the configuration again at each signal; the node goes on with what it has if that fails.
+async fn reload(mut hangup: Signal, path: &str, reloader: Reloader) {
+    while hangup.recv().await.is_some() {
+        if let Err(fault) = read(path).and_then(|text| reloader.reload(&text)) {
+            warn!(fault, "configuration not read again: the one before stays");
+        }
+    }
+    std::future::pending().await // no further signal can come, which is no reason to end
+}
--- /dev/null
+++ b/crates/world/src/experiment.rs
@@ -0,0 +1,473 @@
+//! An experiment: what fleet serves what load while what goes wrong, and the question it asks. Written as
+//! TOML; every key is a field here.
+
+use std::collections::BTreeSet;
+
+use serde::Deserialize;
+
+use crate::{discovery, server, Nanos, MS, SECOND};
+
+/// A whole experiment.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    /// What playing it should tell.
+    pub question: String,
+    /// Length, from the first request to the last.
+    pub seconds: f64,
+    /// For all that is drawn, unless the command line names another.
+    #[serde(default = "one")]
+    pub seed: u64,
+    /// The nodes.
+    pub nodes: Nodes,
+    /// The guide servers.
+    pub fleet: Fleet,
+    /// The load.
+    pub load: Load,
+    /// Classes of requests.
+    #[serde(rename = "class")]
+    pub classes: Vec<Class>,
+    /// Tenants; without any, one that may ask for everything.
+    #[serde(default, rename = "tenant")]
+    pub tenants: Vec<Tenant>,
+    /// What clients do about failures.
+    #[serde(default)]
+    pub clients: Clients,
+    /// Discovery.
+    #[serde(default)]
+    pub discovery: discovery::Spec,
+    /// What goes wrong.
+    #[serde(default, rename = "trouble")]
+    pub troubles: Vec<Trouble>,
+    /// The figures of the rules.
+    #[serde(default)]
+    pub rules: Rules,
+}
+
+fn one() -> u64 {
+    1
+}
+
+/// The nodes, and what each may use.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Nodes {
+    /// How many; they are spread over the zones in turn.
+    pub count: usize,
+    /// Descriptors of each.
+    #[serde(default = "sockets")]
+    pub sockets: usize,
+    /// Memory of each, in megabytes; more is a breach.
+    #[serde(default = "memory")]
+    pub memory_mb: f64,
+    /// They have to ask for the list; else it comes by itself.
+    #[serde(default)]
+    pub ask: bool,
+    /// Time after its end until the front notices that a node is gone, in milliseconds.
+    #[serde(default = "notice")]
+    pub notice_ms: f64,
+}
+
+fn sockets() -> usize {
+    1_024
+}
+
+fn memory() -> f64 {
+    192.0
+}
+
+fn notice() -> f64 {
+    1_500.0
+}
+
+/// The guide servers.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// Zones; servers of each kind are spread over them in turn.
+    pub zones: Vec<String>,
+    /// Kinds of server.
+    #[serde(rename = "kind")]
+    pub kinds: Vec<Kind>,
+}
+
+/// A kind of server.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Kind {
+    /// Its name.
+    pub name: String,
+    /// How many there are.
+    pub count: usize,
+    /// How it is built.
+    #[serde(default)]
+    pub build: server::Spec,
+}
+
+/// What is asked.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    /// Work asked for, as a share of what all servers can do when warm and untroubled.
+    pub of_capacity: f64,
+    /// Its shape over time.
+    #[serde(default)]
+    pub shape: Shape,
+    /// How far it strays from its mean, as a share of it.
+    #[serde(default)]
+    pub swing: f64,
+    /// Period of the swing, or mean length of a burst, in milliseconds.
+    #[serde(default = "period")]
+    pub period_ms: f64,
+}
+
+fn period() -> f64 {
+    8_000.0
+}
+
+/// Shape of the load over time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Shape {
+    /// As much at all times.
+    #[default]
+    Steady,
+    /// A level drawn anew for each burst.
+    Bursty,
+    /// Up and down.
+    Swinging,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Share of the requests, beside the shares of the other classes.
+    pub share: f64,
+    /// Mean work, in milliseconds of a standard core.
+    pub work_ms: f64,
+    /// Deviation of the work over its mean; lognormal.
+    #[serde(default)]
+    pub spread: f64,
+    /// An answer within this many milliseconds earns the worth.
+    pub aim_ms: f64,
+    /// The client waits so many milliseconds in all.
+    pub deadline_ms: f64,
+    /// Worth of a request.
+    #[serde(default = "worth")]
+    pub worth: f64,
+    /// What a repeat does.
+    pub effect: Effect,
+}
+
+fn worth() -> f64 {
+    1.0
+}
+
+/// What a repeat does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Effect {
+    /// No harm.
+    Safe,
+    /// Harm: it must never run twice.
+    Unsafe,
+}
+
+/// A tenant.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tenant {
+    /// Its name.
+    pub name: String,
+    /// Share of the requests, beside the shares of the others.
+    pub share: f64,
+    /// Requests a second that count in full; 0: no such limit.
+    #[serde(default)]
+    pub quota_per_s: f64,
+}
+
+/// What clients do about failures.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Clients {
+    /// Tries after the first.
+    pub retries: u32,
+    /// Part of the deadline that one try may take.
+    pub try_share: f64,
+    /// Time before a further try, in milliseconds; 0: at once.
+    pub backoff_ms: f64,
+    /// Share of clients that heed `Retry-After`.
+    pub honour: f64,
+    /// Share of tries that their client leaves before their time.
+    pub impatient: f64,
+    /// Further tries are marked as such.
+    pub marks: bool,
+}
+
+impl Default for Clients {
+    fn default() -> Self {
+        Clients { retries: 2, try_share: 0.5, backoff_ms: 20.0, honour: 0.2, impatient: 0.0, marks: false }
+    }
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TroubleKind {
+    /// Server processes die and come back cold.
+    Crash,
+    /// Machines fall silent and come back cold.
+    Vanish,
+    /// Servers take longer, by the factor `size`.
+    Slow,
+    /// Servers take requests and do nothing.
+    Hang,
+    /// Servers turn one class away, after `size` milliseconds.
+    TurnAway,
+    /// A share `size` of answers never comes.
+    LoseAnswers,
+    /// A share `size` of answers is cut short.
+    CutAnswers,
+    /// A share `size` of requests ends in a reset.
+    ResetAnswers,
+    /// A share `size` of answers is no HTTP.
+    MalformedAnswers,
+    /// Servers are drained, stopped and started anew, in batches of `size` of the fleet.
+    DeployRoll,
+    /// Nodes get SIGTERM and are started anew, one after another.
+    NodeRoll,
+    /// Nodes are killed and started anew.
+    NodeKill,
+    /// Discovery is out of service.
+    DiscoveryOutage,
+    /// Peers connect and send nothing: `size` of them a second at each node.
+    SilentPeers,
+    /// Clients ask `size` times as much.
+    Surge,
+}
+
+/// One trouble.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Trouble {
+    /// What goes wrong.
+    pub kind: TroubleKind,
+    /// When, in seconds from the start.
+    pub at_s: f64,
+    /// For how long, in seconds.
+    pub for_s: f64,
+    /// For what part of the servers or nodes.
+    #[serde(default = "worth")]
+    pub part: f64,
+    /// How much; what it means depends on the kind.
+    #[serde(default)]
+    pub size: Option<f64>,
+    /// The class that is turned away.
+    #[serde(default)]
+    pub class: Option<String>,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Rules {
+    /// Attempts that a request may have.
+    pub attempts: u32,
+    /// Time after a node was told that a server drains or is gone, in milliseconds, until nothing new may
+    /// reach it.
+    pub drain_ms: f64,
+    /// Time beyond the client's own that a final answer may take, and slack of all other limits.
+    pub grace_ms: f64,
+    /// Time until a peer that sends no proper request has an error or a close.
+    pub bad_peer_ms: f64,
+    /// Share of requests that may be refused or failed late though nothing was tried for them.
+    pub held_back: f64,
+    /// The lab's own lateness at the 99th percentile, in milliseconds, above which the run is void.
+    pub lateness_ms: f64,
+    /// Least share of the worth that has to be served, where the experiment asks for one.
+    pub served: f64,
+    /// Longest `Retry-After` that clients heed, in milliseconds.
+    pub retry_after_ms: f64,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Rules {
+            attempts: 3,
+            drain_ms: 250.0,
+            grace_ms: 100.0,
+            bad_peer_ms: 3_000.0,
+            held_back: 0.02,
+            lateness_ms: 10.0,
+            served: 0.0,
+            retry_after_ms: 1_000.0,
+        }
+    }
+}
+
+/// A value that cannot be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Path of the field.
+    pub field: String,
+    /// What is wrong with it.
+    pub what: String,
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(f, "{}: {}", self.field, self.what)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// Most servers, nodes and seconds of an experiment: what one machine can hold.
+const SERVERS_MOST: usize = 1_000;
+const NODES_MOST: usize = 100;
+const SECONDS_MOST: f64 = 3_600.0;
+const PER_SECOND_MOST: f64 = 50_000.0;
+
+impl Experiment {
+    /// Whether it can be played. The error names the field.
+    pub fn check(&self) -> Result<(), Fault> {
+        let fault = |field: &str, what: &str| Err(Fault { field: field.into(), what: what.into() });
+        let within = |field: String, value: f64, least: f64, most: f64| {
+            if value.is_finite() && (least..=most).contains(&value) {
+                return Ok(());
+            }
+            Err(Fault { field, what: format!("{value} is not between {least} and {most}") })
+        };
+        within("seconds".into(), self.seconds, 0.5, SECONDS_MOST)?;
+        within("nodes.count".into(), self.nodes.count as f64, 1.0, NODES_MOST as f64)?;
+        within("nodes.sockets".into(), self.nodes.sockets as f64, 64.0, 65_536.0)?;
+        within("nodes.memory_mb".into(), self.nodes.memory_mb, 1.0, 65_536.0)?;
+        within("nodes.notice_ms".into(), self.nodes.notice_ms, 0.0, 60_000.0)?;
+        if self.fleet.zones.is_empty() {
+            return fault("fleet.zones", "there is none");
+        }
+        if self.fleet.kinds.is_empty() {
+            return fault("fleet.kind", "there is none");
+        }
+        within("fleet.kind.count".into(), self.servers() as f64, 1.0, SERVERS_MOST as f64)?;
+        for kind in &self.fleet.kinds {
+            let at = |name: &str| format!("fleet.kind {}: build.{name}", kind.name);
+            within(at("cores"), kind.build.cores, 0.01, 1_024.0)?;
+            within(at("speed"), kind.build.speed, 0.001, 1_000.0)?;
+            within(at("slots"), kind.build.slots as f64, 1.0, 100_000.0)?;
+            within(at("cold_share"), kind.build.cold_share, 0.001, 1.0)?;
+            within(at("ramp_s"), kind.build.ramp_s, 0.0, SECONDS_MOST)?;
+            within(at("errors"), kind.build.errors, 0.0, 1.0)?;
+            within(at("choke"), kind.build.choke, 0.0, 100.0)?;
+            within(at("fall_multiple"), kind.build.fall_multiple, 0.1, 1_000.0)?;
+        }
+        if self.classes.is_empty() {
+            return fault("class", "there is none");
+        }
+        let mut names = BTreeSet::new();
+        for class in &self.classes {
+            let at = |name: &str| format!("class {}: {name}", class.name);
+            let plain = |c: char| c.is_ascii_alphanumeric() || c == '-';
+            if class.name.is_empty() || !class.name.chars().all(plain) || !names.insert(&class.name) {
+                return fault(&at("name"), "has to be letters, digits and hyphens, and its own");
+            }
+            within(at("share"), class.share, 0.0, 1e6)?;
+            within(at("work_ms"), class.work_ms, 0.001, 60_000.0)?;
+            within(at("spread"), class.spread, 0.0, 10.0)?;
+            within(at("deadline_ms"), class.deadline_ms, 1.0, 600_000.0)?;
+            within(at("aim_ms"), class.aim_ms, 1.0, class.deadline_ms)?;
+            within(at("worth"), class.worth, 0.0, 1e6)?;
+        }
+        if self.classes.iter().map(|class| class.share).sum::<f64>() <= 0.0 {
+            return fault("class", "no share is above 0");
+        }
+        within("load.of_capacity".into(), self.load.of_capacity, 0.001, 100.0)?;
+        within("load.swing".into(), self.load.swing, 0.0, 1.0)?;
+        within("load.period_ms".into(), self.load.period_ms, 10.0, 3.6e6)?;
+        within("load (requests a second)".into(), self.per_second(), 0.01, PER_SECOND_MOST)?;
+        within("clients.try_share".into(), self.clients.try_share, 0.01, 1.0)?;
+        within("clients.retries".into(), f64::from(self.clients.retries), 0.0, 10.0)?;
+        within("clients.honour".into(), self.clients.honour, 0.0, 1.0)?;
+        within("clients.impatient".into(), self.clients.impatient, 0.0, 1.0)?;
+        for (n, trouble) in self.troubles.iter().enumerate() {
+            let at = |name: &str| format!("trouble {}: {name}", n + 1);
+            within(at("at_s"), trouble.at_s, 0.0, self.seconds)?;
+            within(at("for_s"), trouble.for_s, 0.0, SECONDS_MOST)?;
+            within(at("part"), trouble.part, 0.0, 1.0)?;
+            if let Some(size) = trouble.size {
+                within(at("size"), size, 0.0, 1e6)?;
+            }
+            use TroubleKind::*;
+            let sized = matches!(
+                trouble.kind,
+                Slow | TurnAway
+                    | LoseAnswers
+                    | CutAnswers
+                    | ResetAnswers
+                    | MalformedAnswers
+                    | SilentPeers
+                    | Surge
+            );
+            if sized && trouble.size.is_none() {
+                return fault(&at("size"), "has to be stated for this kind");
+            }
+            let named = trouble.class.as_ref();
+            if (trouble.kind == TurnAway) != named.is_some() {
+                return fault(&at("class"), "goes with turn-away, and only with it");
+            }
+            if named.is_some_and(|name| self.class(name).is_none()) {
+                return fault(&at("class"), "no class has this name");
+            }
+        }
+        Ok(())
+    }
+
+    /// The number of the class of this name.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.classes.iter().position(|class| class.name == name)
+    }
+
+    /// Number of servers.
+    pub fn servers(&self) -> usize {
+        self.fleet.kinds.iter().map(|kind| kind.count).sum()
+    }
+
+    /// Kind of each server, by number.
+    pub fn kinds(&self) -> Vec<usize> {
+        let each = self.fleet.kinds.iter().enumerate();
+        each.flat_map(|(number, kind)| std::iter::repeat_n(number, kind.count)).collect()
+    }
+
+    /// Zone of a server.
+    pub fn zone_of_server(&self, server: usize) -> usize {
+        server % self.fleet.zones.len()
+    }
+
+    /// Zone of a node.
+    pub fn zone_of_node(&self, node: usize) -> usize {
+        node % self.fleet.zones.len()
+    }
+
+    /// Requests a second on the mean.
+    pub fn per_second(&self) -> f64 {
+        let capacity: f64 =
+            self.fleet.kinds.iter().map(|k| k.count as f64 * k.build.cores * k.build.speed).sum();
+        let shares: f64 = self.classes.iter().map(|class| class.share).sum();
+        let work: f64 = self.classes.iter().map(|class| class.share / shares * class.work_ms).sum();
+        self.load.of_capacity * capacity * 1_000.0 / work
+    }
+
+    /// Its length.
+    pub fn length(&self) -> Nanos {
+        (self.seconds * SECOND as f64) as Nanos
+    }
+
+    /// Longest time that a client waits in all.
+    pub fn longest(&self) -> Nanos {
+        let longest = self.classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
+        (longest * MS as f64) as Nanos
+    }
+}
--- /dev/null
+++ b/crates/world/src/trouble.rs
@@ -0,0 +1,162 @@
+//! What goes wrong when: troubles of an experiment laid out in time.
+
+use rand::seq::SliceRandom;
+
+use crate::experiment::{Experiment, Trouble, TroubleKind};
+use crate::seed::Seed;
+use crate::server::Faults;
+use crate::{millis, Nanos, MS, SECOND};
+
+/// Time for which a drained server goes on before it stops.
+const DRAIN: Nanos = 2 * SECOND;
+/// Time between the stop of a server or node and its new start.
+const RESTART: Nanos = 500 * MS;
+/// Share of the servers that a deploy takes at once, where the experiment states none.
+const BATCH: f64 = 0.1;
+
+/// One change of the world.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// A server's process ends; `silent`: nobody tells discovery.
+    Stop {
+        /// The server.
+        server: usize,
+        /// Whether it died.
+        silent: bool,
+    },
+    /// A server's machine falls silent.
+    Vanish(usize),
+    /// A server starts, cold.
+    Start(usize),
+    /// A server drains.
+    Drain(usize),
+    /// A trouble of servers begins or ends there.
+    Fault {
+        /// The server.
+        server: usize,
+        /// Number of the trouble, by which its end finds it.
+        trouble: usize,
+        /// What goes wrong; none: no more.
+        faults: Option<Faults>,
+    },
+    /// A node gets SIGTERM and is started anew once it has ended.
+    NodeRoll(usize),
+    /// A node is killed.
+    NodeKill(usize),
+    /// A node is started.
+    NodeStart(usize),
+    /// Discovery goes out of service or comes back.
+    Discovery {
+        /// Whether it is out of service.
+        down: bool,
+    },
+    /// So many peers a second connect to each node and send nothing.
+    SilentPeers(f64),
+    /// For the report.
+    Mark(String),
+}
+
+/// All changes of a day, in order.
+pub fn timeline(day: &Experiment, seed: Seed) -> Vec<(Nanos, Change)> {
+    let mut all = Vec::new();
+    for (number, trouble) in day.troubles.iter().enumerate() {
+        lay_out(day, seed, number, trouble, &mut all);
+    }
+    all.sort_by_key(|&(at, _)| at); // stable: what was laid out first comes first
+    all
+}
+
+fn lay_out(day: &Experiment, seed: Seed, number: usize, trouble: &Trouble, all: &mut Vec<(Nanos, Change)>) {
+    let (from, length) = (millis(trouble.at_s * 1e3), millis(trouble.for_s * 1e3));
+    let until = from + length;
+    let of_nodes = matches!(trouble.kind, TroubleKind::NodeRoll | TroubleKind::NodeKill);
+    let count = if of_nodes { day.nodes.count } else { day.servers() };
+    let mut hit: Vec<usize> = (0..count).collect();
+    hit.shuffle(&mut seed.stream("trouble", number as u64));
+    hit.truncate(((trouble.part * count as f64).round() as usize).min(count));
+    let size = trouble.size.unwrap_or(BATCH);
+    let mut at = |time: Nanos, change: Change| all.push((time, change));
+    let name = format!("{:?}", trouble.kind);
+    at(from, Change::Mark(format!("{name} begins")));
+    at(until, Change::Mark(format!("{name} ends")));
+    let fault = |make: &dyn Fn() -> Faults| {
+        let mut changes = Vec::new();
+        for &server in &hit {
+            changes.push((from, Change::Fault { server, trouble: number, faults: Some(make()) }));
+            changes.push((until, Change::Fault { server, trouble: number, faults: None }));
+        }
+        changes
+    };
+    let none = Faults::default;
+    match trouble.kind {
+        TroubleKind::Crash => {
+            for &server in &hit {
+                at(from, Change::Stop { server, silent: true });
+                at(until, Change::Start(server));
+            }
+        }
+        TroubleKind::Vanish => {
+            for &server in &hit {
+                at(from, Change::Vanish(server));
+                at(until, Change::Start(server));
+            }
+        }
+        TroubleKind::Slow => all.extend(fault(&|| Faults { slow: size, ..none() })),
+        TroubleKind::Hang => all.extend(fault(&|| Faults { hung: true, ..none() })),
+        TroubleKind::TurnAway => {
+            let class = trouble.class.as_deref().and_then(|name| day.class(name)).unwrap_or(0);
+            all.extend(fault(&|| Faults { turn_away: Some((class, millis(size))), ..none() }));
+        }
+        TroubleKind::LoseAnswers => all.extend(fault(&|| Faults { lose: size, ..none() })),
+        TroubleKind::CutAnswers => all.extend(fault(&|| Faults { cut: size, ..none() })),
+        TroubleKind::ResetAnswers => all.extend(fault(&|| Faults { reset: size, ..none() })),
+        TroubleKind::MalformedAnswers => all.extend(fault(&|| Faults { malformed: size, ..none() })),
+        TroubleKind::DeployRoll => {
+            let batch = ((size * count as f64).round() as usize).max(1);
+            let batches = hit.chunks(batch);
+            let step = length / (batches.len().max(1) as u64);
+            for (turn, servers) in batches.enumerate() {
+                let begins = from + step * turn as u64;
+                for &server in servers {
+                    at(begins, Change::Drain(server));
+                    at(begins + DRAIN, Change::Stop { server, silent: false });
+                    at(begins + DRAIN + RESTART, Change::Start(server));
+                }
+            }
+        }
+        TroubleKind::NodeRoll => {
+            let step = length / (hit.len().max(1) as u64);
+            for (turn, &node) in hit.iter().enumerate() {
+                at(from + step * turn as u64, Change::NodeRoll(node));
+            }
+        }
+        TroubleKind::NodeKill => {
+            for &node in &hit {
+                at(from, Change::NodeKill(node));
+                at(until, Change::NodeStart(node));
+            }
+        }
+        TroubleKind::DiscoveryOutage => {
+            at(from, Change::Discovery { down: true });
+            at(until, Change::Discovery { down: false });
+        }
+        TroubleKind::SilentPeers => {
+            at(from, Change::SilentPeers(size));
+            at(until, Change::SilentPeers(0.0));
+        }
+        TroubleKind::Surge => {} // the clients' draw knows it
+    }
+}
+
+/// All that goes wrong with one server at once.
+pub fn merged<'a>(all: impl Iterator<Item = &'a Faults>) -> Faults {
+    all.fold(Faults::default(), |sum, one| Faults {
+        slow: sum.slow.max(1.0) * one.slow.max(1.0),
+        hung: sum.hung || one.hung,
+        lose: sum.lose + one.lose,
+        cut: sum.cut + one.cut,
+        reset: sum.reset + one.reset,
+        malformed: sum.malformed + one.malformed,
+        turn_away: one.turn_away.or(sum.turn_away),
+    })
+}
--- /dev/null
+++ b/crates/world/tests/laws.rs
@@ -0,0 +1,233 @@
+//! Laws of the models, and a search for their breach.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use merlinfold_world::clients::{Clients, End};
+use merlinfold_world::experiment::{Effect, Experiment};
+use merlinfold_world::seed::Seed;
+use merlinfold_world::server::{Arrival, Cancels, Done, Faults, Life, Reply, Server, Spec, WarmBy};
+use merlinfold_world::{Nanos, MS, SECOND};
+use proptest::prelude::*;
+
+const DAY: &str = r#"
+question = "Is it the same?"
+seconds = 3
+nodes = { count = 2 }
+load = { of_capacity = 0.5, shape = "bursty", swing = 0.5 }
+[fleet]
+zones = ["a", "b"]
+[[fleet.kind]]
+name = "k"
+count = 4
+[[class]]
+name = "fetch"
+share = 1
+work_ms = 8
+spread = 0.5
+aim_ms = 200
+deadline_ms = 500
+effect = "safe"
+[[class]]
+name = "redeem"
+share = 1
+work_ms = 8
+aim_ms = 200
+deadline_ms = 500
+effect = "unsafe"
+[clients]
+retries = 3
+try_share = 0.4
+impatient = 0.1
+"#;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Pass(Nanos),
+    Ask { work: Nanos, fresh: bool },
+    Abandon(usize),
+    Life(Life),
+    Faults(Faults),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let life = prop_oneof![
+        6 => Just(Life::Up), 2 => Just(Life::Draining), 1 => Just(Life::Down), 1 => Just(Life::Vanished)
+    ];
+    let faults =
+        (0.0f64..4.0, any::<bool>(), 0.0f64..0.3, 0.0f64..0.3).prop_map(|(slow, hung, lose, cut)| Faults {
+            slow,
+            hung: hung && slow > 3.0,
+            lose,
+            cut,
+            ..Faults::default()
+        });
+    prop_oneof![
+        10 => (0u64..60).prop_map(|ms| Step::Pass(ms * MS)),
+        10 => (1u64..40, any::<bool>()).prop_map(|(ms, fresh)| Step::Ask { work: ms * MS, fresh }),
+        2 => (0usize..40).prop_map(Step::Abandon),
+        1 => life.prop_map(Step::Life),
+        1 => faults.prop_map(Step::Faults),
+    ]
+}
+
+fn spec() -> impl Strategy<Value = Spec> {
+    (1usize..4, 0usize..6, 0.2f64..3.0, any::<bool>(), 0usize..3).prop_map(
+        |(slots, queue, speed, by_work, c)| {
+            let cancels = [Cancels::Nothing, Cancels::Waiting, Cancels::All][c];
+            let warm_by = if by_work { WarmBy::Work } else { WarmBy::Time };
+            Spec { slots, queue, speed, cancels, warm_by, fall_multiple: 1e3, ..Spec::default() }
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
+
+    /// Each request comes to exactly one end, while the server lives on; it never holds more than it has
+    /// room for, does no more work than its cores can, and is due only in the future.
+    #[test]
+    fn a_server_ends_each_request_once_within_its_room_and_its_cores(
+        spec in spec(), steps in prop::collection::vec(step(), 1..80),
+    ) {
+        let (room, fastest) = (spec.slots + spec.queue, spec.cores * spec.speed);
+        let mut server = Server::new(spec, 0, 5);
+        let (mut now, mut out, mut next) = (0, Vec::new(), 0u64);
+        for step in steps {
+            match step {
+                Step::Pass(time) => {
+                    now += time;
+                    server.advance(now, &mut out);
+                }
+                Step::Ask { work, fresh } => {
+                    next += 1;
+                    let arrival = Arrival { job: next, class: 0, work, expires: now + SECOND, fresh, told: true };
+                    server.request(now, arrival, &mut out);
+                }
+                Step::Abandon(job) => server.abandoned(now, job as u64, &mut out),
+                Step::Life(life) => server.set_life(now, life, &mut out),
+                Step::Faults(faults) => server.set_faults(now, faults, &mut out),
+            }
+            prop_assert!(server.held() <= room);
+            prop_assert!(server.next_due().is_none_or(|due| due > now || server.held() == 0));
+            prop_assert!(server.warmth() > 0.0 && server.warmth() <= 1.0);
+        }
+        prop_assert!(server.done() <= now as f64 * fastest * (1.0 + 1e-9) + 1.0);
+        // Left alone and well, it finishes what it holds.
+        server.set_faults(now, Faults::default(), &mut out);
+        server.advance(now + 600 * SECOND, &mut out);
+        let mut ends: BTreeMap<u64, Vec<Done>> = BTreeMap::new();
+        out.iter().for_each(|done| ends.entry(done.job).or_default().push(*done));
+        for job in 1..=next {
+            let of = ends.get(&job).map_or(0, Vec::len);
+            prop_assert_eq!(of, 1, "request {}: {:?}", job, ends.get(&job));
+        }
+        let proven = |done: &Done| done.reply != Reply::TurnedAway || !done.ran;
+        prop_assert!(out.iter().all(proven), "turned away though it ran");
+    }
+
+    /// The steps in which time passes don't change what comes of it.
+    #[test]
+    fn a_server_does_the_same_work_in_one_step_as_in_many(spec in spec(), cuts in prop::collection::vec(1u64..200, 1..20)) {
+        let ask = |server: &mut Server, out: &mut Vec<Done>| {
+            for job in 0..4 {
+                let arrival = Arrival { job, class: 0, work: 30 * MS, expires: Nanos::MAX, fresh: false, told: true };
+                server.request(0, arrival, out);
+            }
+        };
+        let (mut once, mut often, mut one, mut many) =
+            (Server::new(spec.clone(), 0, 1), Server::new(spec, 0, 1), Vec::new(), Vec::new());
+        ask(&mut once, &mut one);
+        ask(&mut often, &mut many);
+        let end: Nanos = cuts.iter().sum::<u64>() * MS;
+        once.advance(end, &mut one);
+        let mut now = 0;
+        for cut in cuts {
+            now += cut * MS;
+            often.advance(now, &mut many);
+        }
+        prop_assert_eq!(one, many);
+        prop_assert!((once.done() - often.done()).abs() < 10.0);
+    }
+
+    /// A request has no more tries than its client has, at most one at a time, all within its deadline and
+    /// each with an id of its own; what is unsafe is tried again only after a refusal or if no node was reached.
+    #[test]
+    fn clients_repeat_only_what_they_may(seed in any::<u64>(), ends in prop::collection::vec((0u8..7, 1u64..300), 1..200)) {
+        let day = toml::from_str::<Experiment>(DAY).unwrap();
+        day.check().unwrap();
+        let mut clients = Clients::new(&day, Seed(seed));
+        let (mut ids, mut open, mut turn) = (BTreeSet::new(), Vec::new(), 0);
+        let mut last: BTreeMap<usize, End> = BTreeMap::new();
+        while let Some(due) = clients.next_due() {
+            let Some(started) = clients.start(due) else { panic!("due but not started") };
+            prop_assert!(ids.insert(started.id), "an id twice");
+            prop_assert!(started.number <= day.clients.retries);
+            let deadline = started.wish.at + 500 * MS;
+            prop_assert!(due <= deadline && due + started.budget <= deadline);
+            if let Some(end) = last.get(&started.request) {
+                let again = end.refused() || *end == End::Unreachable;
+                prop_assert!(again || day.classes[started.wish.class].effect == Effect::Safe, "{:?}", end);
+                prop_assert!(!end.served() && *end != End::Left);
+            }
+            open.push(started);
+            let (kind, after) = ends[turn % ends.len()];
+            turn += 1;
+            let started = open.pop().unwrap();
+            let end = match kind {
+                0 => End::Unanswered,
+                1 => End::Closed,
+                2 => End::Unreachable,
+                3 => End::Left,
+                4 => End::Answered { status: 503, retry_after: 0, genuine: false },
+                5 => End::Answered { status: 502, retry_after: 0, genuine: false },
+                _ => End::Answered { status: 200, retry_after: 0, genuine: true },
+            };
+            last.insert(started.request, end);
+            clients.ended(due + after.min(started.budget / MS) * MS, started.id, end);
+        }
+        prop_assert!(clients.done());
+    }
+}
+
+/// Guards the fourth rule's model: a cold server bears its share, and falls over under much more.
+#[test]
+fn a_cold_server_falls_over_when_flooded_and_stays_down() {
+    let spec = Spec { queue: 1_000, ramp_s: 100.0, ..Spec::default() };
+    for (gap, falls) in [(30 * MS, false), (2 * MS, true)] {
+        let mut server = Server::new(spec.clone(), 0, 1);
+        let mut out = Vec::new();
+        server.set_life(0, Life::Down, &mut out);
+        server.set_life(0, Life::Up, &mut out);
+        for job in 0..400 {
+            let arrival = Arrival {
+                job,
+                class: 0,
+                work: 8 * MS,
+                expires: Nanos::MAX,
+                fresh: false,
+                told: job % 4 != 0,
+            };
+            server.request(job * gap, arrival, &mut out);
+        }
+        assert_eq!(server.fallen().is_some(), falls, "a request each {gap} ns");
+        if let Some(fall) = server.fallen() {
+            assert!((fall.told - 0.75).abs() < 0.05 && fall.load > 1.0, "{fall:?}");
+            server.set_life(10 * SECOND, Life::Up, &mut out);
+            assert_eq!(server.life(), Life::Down);
+        }
+    }
+}
+
+/// Guards the load: as many requests as the experiment says, in the shares that it says.
+#[test]
+fn what_is_drawn_has_the_stated_rate_and_shares() {
+    let mut day = toml::from_str::<Experiment>(DAY).unwrap();
+    day.seconds = 60.0;
+    let wishes = merlinfold_world::clients::draw(&day, Seed(3));
+    let expected = day.per_second() * 60.0;
+    assert!((wishes.len() as f64 / expected - 1.0).abs() < 0.15, "{} of {expected}", wishes.len());
+    let fetch = wishes.iter().filter(|wish| wish.class == 0).count() as f64 / wishes.len() as f64;
+    assert!((fetch - 0.5).abs() < 0.03, "{fetch}");
+    let work = wishes.iter().map(|wish| wish.work as f64).sum::<f64>() / wishes.len() as f64;
+    assert!((work / (8 * MS) as f64 - 1.0).abs() < 0.05, "{work}");
+}
