--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod play;
 pub mod process;
 mod servers;
+pub mod sim;
 mod time;
 
 pub use servers::body;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,7 +9,8 @@
 use merlinfold_lab::compare::paired;
 use merlinfold_lab::play::{play, Plan, Played};
 use merlinfold_lab::process::NodeCommand;
-use merlinfold_lab::{experiments, html};
+use merlinfold_lab::{experiments, html, sim};
+use merlinfold_world::experiment::Experiment;
 use tokio::signal::unix::{signal, SignalKind};
 
 /// Plays days of traffic and trouble against real nodes on loopback, and says what was served and which
@@ -36,6 +37,10 @@
         experiment: String,
         #[command(flatten)]
         common: Common,
+        /// In virtual time, with the decision module itself instead of node processes: the same seed gives
+        /// the same report.
+        #[arg(long = "virtual", conflicts_with = "node")]
+        in_virtual_time: bool,
         /// Write the report as JSON.
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
@@ -59,6 +64,19 @@
         #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=100))]
         seeds: u64,
     },
+    /// Measure how many requests a second the lab can offer to one node while it keeps time.
+    Load(Common),
+    /// Measure the processor time of a node for each request beside that of a bare forwarder, in turn.
+    Cost {
+        #[command(flatten)]
+        common: Common,
+        /// Command of what decides nothing; else the bare forwarder of this build.
+        #[arg(long, value_name = "COMMAND")]
+        against: Option<String>,
+        /// Pairs to play.
+        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=100))]
+        pairs: u64,
+    },
     /// List the kept experiments and what they ask.
     List,
     /// This program as a node, which is what the lab starts.
@@ -126,16 +144,27 @@
     match told {
         Command::Demo(common) => {
             let page = std::env::temp_dir().join("merlinfold-lab-demo.html");
-            run("demo", &common, None, Some(page), None).await
+            let out = Out { html: Some(page), ..Out::default() };
+            run("demo", &common, false, out).await
         }
-        Command::Run { experiment, common, json, html, logs } => {
-            run(&experiment, &common, json, html, logs).await
+        Command::Run { experiment, common, in_virtual_time, json, html, logs } => {
+            run(&experiment, &common, in_virtual_time, Out { json, html, logs }).await
         }
         Command::Compare { a, b, experiments, seeds } => compare(&a, &b, &experiments, seeds).await,
+        Command::Load(common) => load(&common).await,
+        Command::Cost { common, against, pairs } => cost(&common, against.as_deref(), pairs).await,
         Command::List | Command::Node => Ok(ExitCode::SUCCESS),
     }
 }
 
+/// Where a report goes besides the terminal.
+#[derive(Default)]
+struct Out {
+    json: Option<PathBuf>,
+    html: Option<PathBuf>,
+    logs: Option<PathBuf>,
+}
+
 async fn one(plan: Plan) -> Result<Played, String> {
     // Drawn on a terminal only.
     let bar = ProgressBar::new((plan.day.seconds * 1e3) as u64);
@@ -148,13 +177,16 @@
     played
 }
 
-async fn run(
-    name: &str, common: &Common, json: Option<PathBuf>, html: Option<PathBuf>, logs: Option<PathBuf>,
-) -> Result<ExitCode, String> {
+async fn run(name: &str, common: &Common, in_virtual_time: bool, out: Out) -> Result<ExitCode, String> {
     let mut day = experiments::find(name)?;
     day.seed = common.seed.unwrap_or(day.seed);
-    let plan = Plan { name: name.to_owned(), day, nodes: command(common.node.as_deref())?, logs };
-    let Played { report, breaches, tails } = one(plan).await?;
+    let Played { report, breaches, tails } = if in_virtual_time {
+        let (report, breaches) = sim::play(name, &day)?;
+        Played { report, breaches, tails: Vec::new() }
+    } else {
+        let nodes = command(common.node.as_deref())?;
+        one(Plan { name: name.to_owned(), day, nodes, logs: out.logs }).await?
+    };
     println!("{name}: {} Seed {}, nodes: {}.", report.question, report.seed, report.nodes);
     print!("{}", report.table());
     let classes: Vec<String> = report.classes.iter().map(|(name, w)| format!("{name} {w:.3}")).collect();
@@ -172,11 +204,11 @@
     let written = |path: &PathBuf, text: String| {
         std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))
     };
-    if let Some(path) = json {
+    if let Some(path) = out.json {
         let text = serde_json::to_string_pretty(&report).map_err(|error| format!("report: {error}"))?;
         written(&path, text)?;
     }
-    if let Some(path) = html {
+    if let Some(path) = out.html {
         written(&path, html::page(&report)?)?;
         println!("page: {}", path.display());
     }
@@ -243,3 +275,86 @@
     }
     Ok(if void > 0 { ExitCode::from(VOID) } else { ExitCode::SUCCESS })
 }
+
+/// Lateness at the 99th percentile up to which a rate counts as offered.
+const OFFERED_MS: f64 = 1.0;
+/// Rates that are tried, in requests a second.
+const RATES: [f64; 9] = [500.0, 1_000.0, 2_000.0, 3_000.0, 4_000.0, 6_000.0, 8_000.0, 12_000.0, 16_000.0];
+
+/// A day without trouble on which servers answer in parallel, at so many requests a second.
+fn plain(rate: f64, seconds: f64) -> Result<Experiment, String> {
+    let mut day = experiments::find("calm")?;
+    (day.nodes.count, day.nodes.sockets, day.nodes.memory_mb, day.seconds) = (1, 4_096, 192.0, seconds);
+    day.load.swing = 0.0;
+    for kind in &mut day.fleet.kinds {
+        (kind.build.cores, kind.build.slots, kind.build.choke) = (256.0, 256, 0.0);
+    }
+    day.load.of_capacity *= rate / day.per_second();
+    day.rules.served = 0.0;
+    Ok(day)
+}
+
+async fn load(common: &Common) -> Result<ExitCode, String> {
+    println!(
+        "{:>8} {:>10} {:>10} {:>8} {:>10} {:>12}",
+        "rate", "late p99", "late most", "served", "node cpu", "latency p99"
+    );
+    let mut best = None;
+    for rate in RATES {
+        let mut day = plain(rate, 4.0)?;
+        day.seed = common.seed.unwrap_or(day.seed);
+        let nodes = command(common.node.as_deref())?;
+        let played = one(Plan { name: format!("{rate}/s"), day, nodes, logs: None }).await?;
+        let report = played.report;
+        let [_, p99, most] = report.lab.lateness_ms;
+        let cpu = report.usage.first().map_or(0.0, |used| used.cpu_s) / 4.0;
+        println!(
+            "{rate:>8} {p99:>7.2} ms {most:>7.2} ms {:>7.1}% {:>9.0}% {:>9.1} ms",
+            100.0 * report.whole.served as f64 / report.whole.asked.max(1) as f64,
+            100.0 * cpu,
+            report.whole.latency_ms[2],
+        );
+        if p99 > OFFERED_MS {
+            break;
+        }
+        best = Some(rate);
+    }
+    match best {
+        Some(rate) => {
+            println!("offered with a lateness of at most {OFFERED_MS} ms at the 99th percentile: {rate}/s")
+        }
+        None => println!("not even the least rate was offered in time"),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn cost(common: &Common, against: Option<&str>, pairs: u64) -> Result<ExitCode, String> {
+    let own = std::env::current_exe().map_err(|error| format!("cannot name this program: {error}"))?;
+    let bare = own.with_file_name("merlinfold-lab-forwarder").display().to_string();
+    let commands = [command(common.node.as_deref())?, NodeCommand::of(against.unwrap_or(&bare))?];
+    let mut ratios = Vec::new();
+    println!("{:>4} {:>14} {:>14} {:>7}", "seed", "node us/req", "bare us/req", "ratio");
+    for seed in 1..=pairs {
+        let mut figures = [0.0; 2];
+        let order = if seed % 2 == 1 { [0, 1] } else { [1, 0] };
+        for side in order {
+            let mut day = plain(1_500.0, 6.0)?;
+            day.seed = seed;
+            let plan = Plan { name: format!("pair {seed}"), day, nodes: commands[side].clone(), logs: None };
+            let played = one(plan).await?;
+            let served = played.report.whole.served.max(1) as f64;
+            figures[side] = played.report.usage.first().map_or(0.0, |used| used.cpu_s) * 1e6 / served;
+        }
+        let ratio = figures[0] / figures[1];
+        println!("{seed:>4} {:>14.1} {:>14.1} {ratio:>7.2}", figures[0], figures[1]);
+        ratios.push(ratio);
+    }
+    ratios.sort_by(f64::total_cmp);
+    println!(
+        "processor time of a served request over the forwarder's: median {:.2}, from {:.2} to {:.2}",
+        ratios[ratios.len() / 2],
+        ratios[0],
+        ratios[ratios.len() - 1]
+    );
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -137,7 +137,7 @@
         conductor.spawn(node)?;
     }
     for node in 0..count {
-        started &= conductor.await_ready(node).await;
+        started = started && conductor.await_ready(node).await;
     }
     if started {
         clock.start();
@@ -180,7 +180,21 @@
     }
 
     async fn await_ready(&mut self, node: usize) -> bool {
-        if ready(self.range.node(node), START).await {
+        let asked = ready(self.range.node(node), START);
+        tokio::pin!(asked);
+        let mut look = interval(Duration::from_millis(20));
+        let is_ready = loop {
+            tokio::select! {
+                ready = &mut asked => break ready,
+                // One that has ended by itself need not be waited for.
+                _ = look.tick() => {
+                    if self.nodes[node].as_mut().and_then(Process::ended).is_some() {
+                        break false;
+                    }
+                }
+            }
+        };
+        if is_ready {
             self.load.node(node, None);
             return true;
         }
--- /dev/null
+++ b/crates/lab/src/sim.rs
@@ -0,0 +1,646 @@
+//! The same day in virtual time: the same models and the decision module itself, without sockets.
+//!
+//! A day of minutes takes a second or two and is the same each time, so that many seeds can be searched. What
+//! only sockets show is left out: connections that close when idle, peers that send nothing, memory,
+//! descriptors and the cost of the processor.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use merlinfold_decide::interface::{
+    Action, Event, ListKind, Readiness, Request, RequestId, ServerId, Status as Outcome,
+};
+use merlinfold_decide::policy::Balancer;
+use merlinfold_settings::{Env, Listed, Names};
+use merlinfold_world::clients::{Clients, End, Try};
+use merlinfold_world::discovery::{Listing, Status};
+use merlinfold_world::experiment::Experiment;
+use merlinfold_world::fleet::{Effect, Fleet};
+use merlinfold_world::front::Front;
+use merlinfold_world::ledger::{told_by_default, Breach, Ledger, Life as NodeLife, Run, Told, Tried};
+use merlinfold_world::report::{report, Report};
+use merlinfold_world::seed::{mix, Seed, Stream};
+use merlinfold_world::server::{Arrival, Life, Reply};
+use merlinfold_world::trouble::Change;
+use merlinfold_world::{millis, Nanos, MS, SECOND};
+
+use crate::platform;
+
+/// The module's clock at the day's start: late enough that a start before the day is long ago.
+const EPOCH: Nanos = 1_000 * SECOND;
+/// One way between a client and its node, and between a node and a server.
+const CLIENT_WAY: Nanos = 400_000;
+const SERVER_WAY: Nanos = 150_000;
+/// Handshake of a new connection, beyond one way.
+const HANDSHAKE: Nanos = 2 * SERVER_WAY;
+/// Time after which a connection that does not come up has failed.
+const CONNECT: Nanos = 200 * MS;
+/// Kept back of the client's time for the answer's way, as a node on sockets does.
+const MARGIN: Nanos = 5 * MS;
+/// Time that a watch asks for, and before the next call after one failed.
+const WATCH: Nanos = 5 * SECOND;
+const BACKOFF: Nanos = 100 * MS;
+/// What discovery shows counts as told after this.
+const TOLD_LATEST: Nanos = 6 * SECOND;
+/// Time between the end of a node and its new start.
+const RESTART: Nanos = 300 * MS;
+/// Steps after which a day is given up as one that does not end.
+const STEPS_MOST: u64 = 200_000_000;
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Fleet,
+    Clients,
+    /// A request has reached its node.
+    Asked(usize, u64),
+    /// An answer has reached its client.
+    Answered(u64, u16, Nanos, bool),
+    /// A client's patience is over.
+    Patience(u64),
+    Timer(usize, u32, u64),
+    /// An attempt has reached its server.
+    Arrives(u64),
+    /// What an attempt came to has reached its node.
+    Ends(u64, u8),
+    /// An attempt has timed out at its node.
+    TimesOut(u64),
+    /// A node asks discovery.
+    Asks(usize, u32),
+    NodeStart(usize),
+}
+
+struct Attempt {
+    node: usize,
+    life: u32, // which of the node's lives sent it
+    request: RequestId,
+    number: u32,
+    server: usize,
+    sent: Nanos,
+    fresh: bool,
+    id: u64,
+    line: Option<usize>, // in the ledger, once it has arrived
+    open: bool,
+}
+
+struct Open {
+    id: u64,
+    attempts: Vec<u64>,
+    answered: bool,
+}
+
+struct Node {
+    balancer: Balancer,
+    names: Names,
+    life: u32,
+    up: bool,
+    leaving: bool,
+    open: BTreeMap<RequestId, Open>,
+    next: u64,
+    index: Option<u64>,
+    idle: Vec<u32>, // connections, by server
+    since: BTreeMap<usize, Nanos>,
+}
+
+struct Sim<'a> {
+    day: &'a Experiment,
+    now: Nanos,
+    due: BinaryHeap<Reverse<(Nanos, u64, Due)>>,
+    sequence: u64,
+    fleet_at: Nanos, // when the fleet and the clients are next looked at
+    clients_at: Nanos,
+    fleet: Fleet,
+    clients: Clients,
+    front: Front,
+    rng: Stream,
+    nodes: Vec<Node>,
+    tries: BTreeMap<u64, (Tried, RequestId)>,
+    attempts: BTreeMap<u64, Attempt>,
+    calls: BTreeMap<u64, (usize, u32)>,
+    next: u64,
+    ledger: Ledger,
+}
+
+/// Plays a day; always to the same end.
+pub fn play(name: &str, day: &Experiment) -> Result<(Report, Vec<Breach>), String> {
+    day.check().map_err(|fault| format!("{name}: {fault}"))?;
+    let seed = Seed(day.seed);
+    let nodes: Result<Vec<Node>, String> = (0..day.nodes.count).map(|node| Node::new(day, node, 0)).collect();
+    let mut sim = Sim {
+        day,
+        now: 0,
+        due: BinaryHeap::new(),
+        sequence: 0,
+        fleet_at: Nanos::MAX,
+        clients_at: Nanos::MAX,
+        fleet: Fleet::new(day, seed),
+        clients: Clients::new(day, seed),
+        front: Front::new((0..day.nodes.count).map(|node| day.zone_of_node(node)).collect()),
+        rng: seed.stream("front", 0),
+        nodes: nodes?,
+        tries: BTreeMap::new(),
+        attempts: BTreeMap::new(),
+        calls: BTreeMap::new(),
+        next: 0,
+        ledger: Ledger::default(),
+    };
+    for node in 0..day.nodes.count {
+        sim.start_node(node);
+    }
+    sim.look_at_fleet();
+    sim.look_at_clients();
+    let mut steps = 0;
+    while !sim.clients.done() {
+        let Some(Reverse((at, _, due))) = sim.due.pop() else { break };
+        sim.now = at;
+        sim.step(due)?;
+        steps += 1;
+        if steps > STEPS_MOST {
+            return Err(format!("{name}: the day does not end"));
+        }
+    }
+    let mut ledger = sim.ledger;
+    ledger.wishes = sim.clients.wishes().to_vec();
+    let servers = sim.fleet.servers().iter().enumerate();
+    ledger.falls = servers.filter_map(|(n, server)| server.fallen().map(|fall| (n, fall))).collect();
+    told_by_default(&mut ledger.told, sim.fleet.shown(), day.nodes.count, TOLD_LATEST);
+    let mut report = report(day, &ledger);
+    let breaches = report.judge(day, &ledger);
+    report.experiment = name.to_owned();
+    report.nodes = "the decision module, in virtual time".to_owned();
+    Ok((report, breaches))
+}
+
+impl Node {
+    fn new(day: &Experiment, node: usize, life: u32) -> Result<Self, String> {
+        let env: Env = serde_json::from_value(platform::settings(day, node))
+            .map_err(|error| format!("settings: {error}"))?;
+        let mut names = Names::default();
+        let settings = env.settings(&mut names)?;
+        // Servers are numbered as in the day.
+        for server in 0..day.servers() {
+            names.servers.number(&platform::server_name(server));
+        }
+        let seed = mix(day.seed ^ mix(node as u64 * 1_000 + u64::from(life)));
+        Ok(Node {
+            balancer: Balancer::new(settings, seed),
+            names,
+            life,
+            up: true,
+            leaving: false,
+            open: BTreeMap::new(),
+            next: 0,
+            index: None,
+            idle: vec![0; day.servers()],
+            since: BTreeMap::new(),
+        })
+    }
+}
+
+impl Sim<'_> {
+    fn at(&mut self, at: Nanos, due: Due) {
+        self.sequence += 1;
+        self.due.push(Reverse((at, self.sequence, due)));
+    }
+
+    fn start_node(&mut self, node: usize) {
+        let whole = self.fleet.list();
+        self.hear(node, ListKind::Persisted, &whole);
+        self.front.ready(node);
+        let life = self.nodes[node].life;
+        if !self.day.nodes.ask {
+            self.at(self.now, Due::Asks(node, life));
+        }
+    }
+
+    fn step(&mut self, due: Due) -> Result<(), String> {
+        match due {
+            // One of several looks: whichever came first has done it.
+            Due::Fleet if self.fleet_at > self.now => {}
+            Due::Clients if self.clients_at > self.now => {}
+            Due::Fleet => {
+                self.fleet_at = Nanos::MAX;
+                self.fleet(|fleet, now, out| fleet.advance(now, out));
+            }
+            Due::Clients => {
+                self.clients_at = Nanos::MAX;
+                while let Some(start) = self.clients.start(self.now) {
+                    self.attend(start);
+                }
+                self.look_at_clients();
+            }
+            Due::Asked(node, id) => self.asked(node, id),
+            Due::Answered(id, status, retry_after, genuine) => {
+                self.end_try(id, End::Answered { status, retry_after, genuine });
+            }
+            Due::Patience(id) => {
+                if let Some((tried, _)) = self.tries.get(&id) {
+                    let left = tried.is.leaves_after.is_some();
+                    self.end_try(id, if left { End::Left } else { End::Unanswered });
+                }
+            }
+            Due::Timer(node, life, token) if self.nodes[node].life == life && self.nodes[node].up => {
+                self.give(node, Event::Timer(token));
+            }
+            Due::Timer(..) => {}
+            Due::Arrives(job) => self.arrives(job),
+            Due::Ends(job, reply) => self.ends(job, outcome(reply)),
+            Due::TimesOut(job) => {
+                if let Some((server, true)) = self.attempts.get(&job).map(|a| (a.server, a.open)) {
+                    self.ends(job, Outcome::Timeout);
+                    self.fleet(|fleet, now, out| fleet.abandoned(now, server, job, out));
+                }
+            }
+            Due::Asks(node, life) => {
+                if self.nodes[node].life == life && self.nodes[node].up {
+                    self.next += 1;
+                    let call = self.next;
+                    self.calls.insert(call, (node, life));
+                    let watch = self.nodes[node].index.map(|index| (index, WATCH));
+                    self.fleet(|fleet, now, out| fleet.call(now, call, watch, out));
+                }
+            }
+            Due::NodeStart(node) => {
+                let life = self.nodes[node].life + 1;
+                self.nodes[node] = Node::new(self.day, node, life)?;
+                self.start_node(node);
+            }
+        }
+        Ok(())
+    }
+
+    fn fleet(&mut self, act: impl FnOnce(&mut Fleet, Nanos, &mut Vec<Effect>)) {
+        let mut effects = Vec::new();
+        act(&mut self.fleet, self.now, &mut effects);
+        for effect in effects {
+            self.carry_out(effect);
+        }
+        self.look_at_fleet();
+    }
+
+    /// Looks at the fleet when it next has something to say, unless that is to be done as early already.
+    fn look_at_fleet(&mut self) {
+        if let Some(next) =
+            self.fleet.next_due().map(|next| next.max(self.now)).filter(|&at| at < self.fleet_at)
+        {
+            self.fleet_at = next;
+            self.at(next, Due::Fleet);
+        }
+    }
+
+    /// The same of the clients.
+    fn look_at_clients(&mut self) {
+        let next = self.clients.next_due().map(|next| next.max(self.now));
+        if let Some(next) = next.filter(|&at| at < self.clients_at) {
+            self.clients_at = next;
+            self.at(next, Due::Clients);
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Done(_, done) => {
+                let Some(attempt) = self.attempts.get(&done.job) else { return };
+                if let Some(run) = attempt.line.and_then(|line| self.ledger.runs.get_mut(line)) {
+                    (run.ended, run.ran, run.reply) = (Some(self.now), done.ran, Some(done.reply));
+                }
+                if done.reply != Reply::Silence {
+                    self.at(self.now + SERVER_WAY, Due::Ends(done.job, code(done.reply)));
+                }
+            }
+            Effect::Refuse(server) | Effect::Listen(server) => {
+                self.nodes.iter_mut().for_each(|node| node.idle[server] = 0);
+            }
+            Effect::Silence(_) => {}
+            Effect::Told(answer) => {
+                let Some((node, life)) = self.calls.remove(&answer.call) else { return };
+                if self.nodes[node].life != life || !self.nodes[node].up {
+                    return;
+                }
+                match answer.listing {
+                    Some(listing) => {
+                        let kind = if listing.snapshot { ListKind::Complete } else { ListKind::Partial };
+                        self.nodes[node].index = Some(listing.index);
+                        if listing.snapshot || !listing.entries.is_empty() {
+                            self.hear(node, kind, &listing);
+                        }
+                        self.at(self.now, Due::Asks(node, life));
+                    }
+                    None => {
+                        self.nodes[node].index = None;
+                        if self.day.nodes.ask {
+                            self.give(node, Event::Servers { kind: ListKind::Failed, entries: Vec::new() });
+                        } else {
+                            self.at(self.now + BACKOFF, Due::Asks(node, life));
+                        }
+                    }
+                }
+            }
+            Effect::Other(change) => self.other(change),
+        }
+    }
+
+    fn other(&mut self, change: Change) {
+        match change {
+            Change::Mark(what) => self.ledger.marks.push((self.now, what)),
+            Change::NodeKill(node) => {
+                self.ledger.nodes.push((self.now, node, NodeLife::Stopped { killed: true }));
+                self.end_node(node);
+            }
+            Change::NodeStart(node) => self.at(self.now, Due::NodeStart(node)),
+            Change::NodeRoll(node) => {
+                // It takes nothing new and answers what it has; by then it has ended.
+                self.ledger.nodes.push((self.now, node, NodeLife::Stopped { killed: false }));
+                self.front.gone(node, self.now);
+                self.nodes[node].leaving = true;
+                self.at(self.now + self.day.longest() + RESTART, Due::NodeStart(node));
+            }
+            _ => {}
+        }
+    }
+
+    fn end_node(&mut self, node: usize) {
+        self.front.gone(node, self.now + millis(self.day.nodes.notice_ms));
+        self.nodes[node].up = false;
+        let out: Vec<u64> =
+            self.tries.iter().filter(|(_, (t, _))| t.node == Some(node)).map(|(&id, _)| id).collect();
+        for id in out {
+            self.end_try(id, End::Closed);
+        }
+        let jobs: Vec<(u64, usize)> = self
+            .attempts
+            .iter_mut()
+            .filter(|(_, attempt)| attempt.node == node && attempt.open)
+            .map(|(&job, attempt)| {
+                attempt.open = false;
+                (job, attempt.server)
+            })
+            .collect();
+        for (job, server) in jobs {
+            self.fleet(|fleet, now, out| fleet.abandoned(now, server, job, out));
+        }
+    }
+
+    fn attend(&mut self, start: Try) {
+        let node = self.front.pick(self.now, start.wish.zone, &mut self.rng);
+        let reached = node.filter(|&node| self.nodes[node].up && !self.nodes[node].leaving);
+        let written = reached.map(|_| self.now);
+        let tried =
+            Tried { is: start, node, written, first: true, ended: 0, end: End::Unreachable, extra: false };
+        self.tries.insert(start.id, (tried, RequestId(u64::MAX)));
+        match reached {
+            Some(node) => {
+                let most = start.budget + millis(self.day.rules.grace_ms);
+                let most = start.leaves_after.map_or(most, |leaves| most.min(leaves));
+                self.at(self.now + most, Due::Patience(start.id));
+                self.at(self.now + CLIENT_WAY, Due::Asked(node, start.id));
+            }
+            None => self.end_try(start.id, End::Unreachable),
+        }
+    }
+
+    fn end_try(&mut self, id: u64, end: End) {
+        let Some((mut tried, request)) = self.tries.remove(&id) else { return };
+        (tried.ended, tried.end) = (self.now, end);
+        self.ledger.tries.push(tried);
+        self.clients.ended(self.now, id, end);
+        self.look_at_clients();
+        let Some(node) = tried.node.filter(|&node| self.nodes[node].up) else { return };
+        let waits = self.nodes[node].open.get(&request).is_some_and(|open| !open.answered);
+        if waits && matches!(end, End::Left | End::Unanswered) {
+            self.give(node, Event::Gone(request));
+            self.settle(node, request);
+        }
+    }
+
+    fn asked(&mut self, node: usize, id: u64) {
+        let Some((tried, request)) = self.tries.get_mut(&id) else { return };
+        if !self.nodes[node].up {
+            return;
+        }
+        let own = &mut self.nodes[node];
+        own.next += 1;
+        *request = RequestId(own.next);
+        let id_at_node = *request;
+        own.open.insert(id_at_node, Open { id, attempts: Vec::new(), answered: false });
+        let start = tried.is;
+        let budget = start.budget.saturating_sub(2 * CLIENT_WAY + MARGIN);
+        let tenant = (!self.day.tenants.is_empty()).then_some(start.wish.tenant);
+        self.give(
+            node,
+            Event::Request(Request {
+                id: id_at_node,
+                class: start.wish.class,
+                tenant,
+                key: Some(start.wish.key),
+                budget,
+                cost_hint: None,
+                repeat: self.day.clients.marks && start.number > 0,
+            }),
+        );
+        self.settle(node, id_at_node);
+    }
+
+    fn hear(&mut self, node: usize, kind: ListKind, listing: &Listing) {
+        let kinds = self.day.kinds();
+        let own = &mut self.nodes[node];
+        let mut entries = Vec::new();
+        for entry in &listing.entries {
+            let of_kind = &self.day.fleet.kinds[kinds[entry.server]];
+            entries.push(own.names.server_entry(Listed {
+                name: &platform::server_name(entry.server),
+                zone: Some(&self.day.fleet.zones[self.day.zone_of_server(entry.server)]),
+                kind: Some(&of_kind.name),
+                cell: Some(entry.server as u64 / 4),
+                readiness: match entry.status {
+                    Status::InService => Readiness::Ready,
+                    Status::Terminating => Readiness::Draining,
+                    Status::Terminated => Readiness::Gone,
+                },
+                weight: Some(of_kind.build.cores * of_kind.build.speed),
+                since: if entry.since == 0 { 0 } else { EPOCH + entry.since },
+            }));
+            if entry.status == Status::InService {
+                own.since.insert(entry.server, entry.since);
+            }
+            let (server, status, at) = (entry.server, entry.status, self.now);
+            self.ledger.told.push(Told { node, server, status, at });
+        }
+        if listing.snapshot {
+            for server in 0..self.day.servers() {
+                if !listing.entries.iter().any(|entry| entry.server == server) {
+                    let (status, at) = (Status::Terminated, self.now);
+                    self.ledger.told.push(Told { node, server, status, at });
+                }
+            }
+        }
+        self.give(node, Event::Servers { kind, entries });
+    }
+
+    fn give(&mut self, node: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.nodes[node].balancer.handle(EPOCH + self.now, event, &mut actions);
+        actions.into_iter().for_each(|action| self.act(node, action));
+    }
+
+    fn act(&mut self, node: usize, action: Action) {
+        let life = self.nodes[node].life;
+        match action {
+            Action::Send { id, server, timeout } => self.send(node, id, server, timeout),
+            Action::Cancel { id, attempt } => {
+                let job = self.nodes[node].open.get(&id).and_then(|open| open.attempts.get(attempt as usize));
+                let Some(&job) = job else { return };
+                let Some(server) = self.attempts.get(&job).filter(|a| a.open).map(|a| a.server) else {
+                    return;
+                };
+                self.ends(job, Outcome::Cancelled);
+                self.fleet(|fleet, now, out| fleet.abandoned(now, server, job, out));
+            }
+            Action::Refuse { id, retry_after } => self.answer(node, id, 503, retry_after, false),
+            Action::Fail { id } => self.answer(node, id, 502, 0, false),
+            Action::Timer { after, token } => self.at(self.now + after, Due::Timer(node, life, token)),
+            Action::Watch => self.at(self.now, Due::Asks(node, life)),
+            Action::Probe { .. } | Action::Tell { .. } => {} // not allowed on these days
+        }
+    }
+
+    fn send(&mut self, node: usize, request: RequestId, server: ServerId, timeout: Nanos) {
+        let server = server.0 as usize;
+        let own = &mut self.nodes[node];
+        let Some(open) = own.open.get_mut(&request) else { return };
+        let Some((tried, _)) = self.tries.get(&open.id) else { return };
+        let expires = tried.written.unwrap_or(0) + tried.is.budget - MARGIN;
+        let fresh = own.idle[server] == 0;
+        own.idle[server] = own.idle[server].saturating_sub(1);
+        self.next += 1;
+        let job = self.next;
+        let number = open.attempts.len() as u32;
+        open.attempts.push(job);
+        let (id, life) = (open.id, own.life);
+        self.attempts.insert(
+            job,
+            Attempt {
+                node,
+                life,
+                request,
+                number,
+                server,
+                sent: self.now,
+                fresh,
+                id,
+                line: None,
+                open: true,
+            },
+        );
+        let ends = if timeout == 0 { expires } else { expires.min(self.now + timeout) };
+        self.at(ends.max(self.now), Due::TimesOut(job));
+        let way = if fresh { HANDSHAKE + SERVER_WAY } else { SERVER_WAY };
+        self.at(self.now + way, Due::Arrives(job));
+    }
+
+    fn arrives(&mut self, job: u64) {
+        let Some(attempt) = self.attempts.get_mut(&job).filter(|attempt| attempt.open) else { return };
+        let (server, node, fresh) = (attempt.server, attempt.node, attempt.fresh);
+        let life = self.fleet.servers()[server].life();
+        if fresh && (life == Life::Down || !self.fleet.open(server)) {
+            return self.at(self.now + SERVER_WAY, Due::Ends(job, UNREACHED));
+        }
+        if fresh && life == Life::Vanished {
+            return self.at(self.now + CONNECT, Due::Ends(job, UNREACHED));
+        }
+        attempt.line = Some(self.ledger.runs.len());
+        let id = attempt.id;
+        let run = Run { id, node, server, arrived: self.now, ended: None, reply: None, ran: false };
+        self.ledger.runs.push(run);
+        let Some(wish) = self.wish(id) else { return };
+        let told =
+            self.nodes[node].since.get(&server).is_some_and(|&since| since >= self.fleet.since(server));
+        let (class, work, expires) = (wish.0, wish.1, wish.2);
+        let arrival = Arrival { job, class, work, expires, fresh, told };
+        self.fleet(|fleet, now, out| fleet.request(now, server, arrival, out));
+    }
+
+    /// Class, work and end of a try that still runs.
+    fn wish(&self, id: u64) -> Option<(usize, Nanos, Nanos)> {
+        let (tried, _) = self.tries.get(&id)?;
+        Some((tried.is.wish.class, tried.is.wish.work, tried.is.planned + tried.is.budget))
+    }
+
+    fn ends(&mut self, job: u64, status: Outcome) {
+        let Some(attempt) = self.attempts.get_mut(&job) else { return };
+        if !std::mem::replace(&mut attempt.open, false) {
+            return;
+        }
+        let (node, request, number, server) = (attempt.node, attempt.request, attempt.number, attempt.server);
+        let (sent, life, arrived) = (attempt.sent, attempt.life, attempt.line.is_some());
+        let own = &mut self.nodes[node];
+        if own.life != life || !own.up {
+            return;
+        }
+        if matches!(status, Outcome::Ok | Outcome::Error | Outcome::Full) {
+            own.idle[server] += 1;
+        } else if arrived {
+            self.fleet.closed(server);
+        }
+        if status == Outcome::Ok {
+            self.answer(node, request, 200, 0, true);
+        }
+        let terminal = self.nodes[node]
+            .open
+            .get(&request)
+            .is_none_or(|open| open.answered || !self.tries.contains_key(&open.id));
+        self.give(
+            node,
+            Event::Outcome {
+                id: request,
+                attempt: number,
+                server: ServerId(server as u32),
+                status,
+                latency: self.now - sent,
+                terminal,
+                report: None,
+            },
+        );
+        self.settle(node, request);
+    }
+
+    /// The only place where a request is answered; only the first answer counts.
+    fn answer(&mut self, node: usize, request: RequestId, status: u16, retry_after: Nanos, genuine: bool) {
+        let Some(open) = self.nodes[node].open.get_mut(&request).filter(|open| !open.answered) else {
+            return;
+        };
+        open.answered = true;
+        let id = open.id;
+        self.at(self.now + CLIENT_WAY, Due::Answered(id, status, retry_after, genuine));
+    }
+
+    /// Forgets a request that is over and whose attempts have ended.
+    fn settle(&mut self, node: usize, request: RequestId) {
+        let Some(open) = self.nodes[node].open.get(&request) else { return };
+        let over = open.answered || !self.tries.contains_key(&open.id);
+        if over && open.attempts.iter().all(|job| self.attempts.get(job).is_none_or(|a| !a.open)) {
+            self.nodes[node].open.remove(&request);
+        }
+    }
+}
+
+/// What [`Due::Ends`] says of an attempt that reached nobody.
+const UNREACHED: u8 = 255;
+
+fn code(reply: Reply) -> u8 {
+    match reply {
+        Reply::Served => 0,
+        Reply::Error => 1,
+        Reply::TurnedAway => 2,
+        Reply::Cut | Reply::Reset | Reply::Malformed | Reply::Silence => 3,
+    }
+}
+
+fn outcome(code: u8) -> Outcome {
+    match code {
+        0 => Outcome::Ok,
+        1 => Outcome::Error,
+        2 => Outcome::Full,
+        UNREACHED => Outcome::ConnectFailed,
+        _ => Outcome::Reset,
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/command.rs
@@ -0,0 +1,84 @@
+//! The lab as its user meets it.
+
+use std::io::Read;
+use std::path::PathBuf;
+use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+fn lab(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_merlinfold-lab")).args(arguments).output().unwrap()
+}
+
+/// Processes whose command line names this.
+fn running(what: &str) -> usize {
+    let folders = std::fs::read_dir("/proc").unwrap().flatten();
+    let lines = folders.filter_map(|folder| std::fs::read(folder.path().join("environ")).ok());
+    lines.filter(|line| String::from_utf8_lossy(line).contains(what)).count()
+}
+
+/// Guards the machine that it runs on: whoever interrupts a run leaves no node behind.
+#[test]
+fn an_interrupted_run_ends_all_that_it_started() {
+    let folder = std::env::temp_dir().join(format!("merlinfold-interrupted-{}", std::process::id()));
+    let name = folder.to_str().unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_merlinfold-lab"))
+        .args(["run", "demo", "--logs", name])
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    // Each node has its configuration's place in its environment.
+    let configuration = format!("BALANCER_CONFIG={name}");
+    let patience = Instant::now() + Duration::from_secs(20);
+    while running(&configuration) < 3 {
+        assert!(Instant::now() < patience, "the nodes were not started");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let told = Command::new("sh").arg("-c").arg(format!("kill -INT {}", child.id())).status().unwrap();
+    assert!(told.success());
+    assert_eq!(child.wait().unwrap().code(), Some(1));
+    let mut says = String::new();
+    child.stderr.take().unwrap().read_to_string(&mut says).unwrap();
+    assert!(says.contains("interrupted"), "{says}");
+    while running(&configuration) > 0 {
+        assert!(Instant::now() < patience, "nodes were left running");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    std::fs::remove_dir_all(PathBuf::from(name)).unwrap();
+}
+
+#[test]
+fn what_cannot_be_played_is_named_and_the_exit_code_tells() {
+    for (arguments, code, says) in [
+        (&["run", "no-such-day"][..], 1, "experiments that are kept: calm"),
+        (&["run", "calm", "--node", "/no/such/program"], 1, "node 0"),
+        (&["run"], 2, "Usage"),
+        (&["run", "calm", "--virtual", "--seed", "4"], 0, ""),
+    ] {
+        let ended = lab(arguments);
+        let told = [ended.stdout, ended.stderr].concat();
+        let told = String::from_utf8_lossy(&told);
+        assert_eq!(ended.status.code(), Some(code), "{arguments:?}: {told}");
+        assert!(told.contains(says), "{arguments:?}: {told}");
+    }
+}
+
+/// Guards readers of reports: the JSON form has its version, and the page holds all that it shows.
+#[test]
+fn a_report_is_written_as_json_with_its_version_and_as_one_page() {
+    let place = |ending: &str| {
+        std::env::temp_dir().join(format!("merlinfold-report-{}.{ending}", std::process::id()))
+    };
+    let (json, html) = (place("json"), place("html"));
+    let files = [json.to_str().unwrap(), html.to_str().unwrap()];
+    let ended = lab(&["run", "crash-quarter", "--virtual", "--json", files[0], "--html", files[1]]);
+    assert!(ended.status.success());
+    let report: merlinfold_world::report::Report =
+        serde_json::from_str(&std::fs::read_to_string(&json).unwrap()).unwrap();
+    assert_eq!((report.schema, report.experiment.as_str()), (1, "crash-quarter"));
+    let asked: u64 = report.windows.iter().map(|window| window.asked).sum();
+    assert_eq!(asked, report.whole.asked);
+    let page = std::fs::read_to_string(&html).unwrap();
+    assert_eq!(page.matches("<svg").count(), 3);
+    assert!(page.contains("Crash begins") && !page.contains("src=") && !page.contains("href="));
+    files.iter().for_each(|file| std::fs::remove_file(file).unwrap());
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -21,6 +21,7 @@
 use tracing::{info, warn};
 
 use crate::clock::Clock;
+use crate::head::Asked;
 use crate::input::{Arrival, Input, Reply};
 use crate::upstream::{Outgoing, BODY_MOST};
 use merlinfold_decide::interface::{Nanos, RequestId, Settings};
@@ -222,20 +223,15 @@
         if head.uri.path() == "/health/ready" && head.method == Method::GET {
             return Ok(Response::new(Full::default()));
         }
-        let text = |name| text(&head.headers, name);
-        let named = text("x-lane").or_else(|| head.uri.path().split('/').nth(1));
-        let class = named.and_then(|name| self.classes.get(name)).ok_or(StatusCode::NOT_FOUND)?;
-        if !text("x-txn").is_some_and(is_id) {
+        let asked = Asked::read(&head.uri, &head.headers);
+        let class = asked.class.and_then(|name| self.classes.get(name)).ok_or(StatusCode::NOT_FOUND)?;
+        if !asked.has_id {
             return Err(StatusCode::BAD_REQUEST);
         }
         let deadline = self.deadlines[class];
-        let remaining = text("x-remaining-ms").and_then(|ms| ms.parse().ok()).map(millis);
-        let expires = arrived + remaining.unwrap_or(deadline).min(deadline);
-        let tenant = text("x-org").and_then(|name| self.tenants.get(name));
-        let key = head.uri.query().and_then(key);
-        let cost_hint =
-            text("x-estimate").and_then(|us| us.parse().ok()).map(|us: Nanos| us.saturating_mul(1000));
-        let repeat = text("x-resent") == Some("1");
+        let expires = arrived + asked.remaining.unwrap_or(deadline).min(deadline);
+        let tenant = asked.tenant.and_then(|name| self.tenants.get(name));
+        let Asked { key, cost_hint, repeat, .. } = asked;
         let read = Limited::new(body, BODY_MOST).collect();
         let body = match timeout_at(self.clock.instant(expires.min(arrived + BODY_TIMEOUT)), read).await {
             Ok(Ok(body)) => body.to_bytes(),
@@ -326,27 +322,6 @@
     response
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name).and_then(|value| value.to_str().ok())
-}
-
-fn is_id(text: &str) -> bool {
-    text.len() == 16 && text.bytes().all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b))
-}
-
-fn millis(ms: u64) -> Nanos {
-    ms.saturating_mul(1_000_000)
-}
-
-/// A number for what the query says that a request is about.
-fn key(query: &str) -> Option<u64> {
-    use std::hash::Hasher;
-    let text = query.split('&').find_map(|pair| pair.strip_prefix("sid="))?;
-    let mut hasher = fnv::FnvHasher::default();
-    hasher.write(text.as_bytes());
-    Some(hasher.finish())
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/node/src/head.rs
@@ -0,0 +1,85 @@
+//! What the head of a client's request says. Whatever stands there, reading it ends in a value or in none.
+
+use std::hash::Hasher;
+
+use hyper::header::HeaderMap;
+use hyper::Uri;
+use merlinfold_decide::interface::Nanos;
+
+/// What a client asks for, in its own words. Values that cannot be read count as absent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Asked<'a> {
+    /// Name of the class: from its header, else the first part of the path.
+    pub class: Option<&'a str>,
+    /// It bears an id of the protocol's form.
+    pub has_id: bool,
+    /// Time that the client waits.
+    pub remaining: Option<Nanos>,
+    /// Name of the tenant.
+    pub tenant: Option<&'a str>,
+    /// A number for what it is about.
+    pub key: Option<u64>,
+    /// Expected work, as time on a standard core.
+    pub cost_hint: Option<Nanos>,
+    /// Marked as a repeat.
+    pub repeat: bool,
+}
+
+impl<'a> Asked<'a> {
+    /// Reads a head.
+    pub fn read(uri: &'a Uri, headers: &'a HeaderMap) -> Self {
+        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        let number = |name: &str| text(name).and_then(|value| value.parse::<u64>().ok());
+        Asked {
+            class: text("x-lane").or_else(|| uri.path().split('/').nth(1)),
+            has_id: text("x-txn").is_some_and(is_id),
+            remaining: number("x-remaining-ms").map(|ms| ms.saturating_mul(1_000_000)),
+            tenant: text("x-org"),
+            key: uri.query().and_then(key),
+            cost_hint: number("x-estimate").map(|us| us.saturating_mul(1_000)),
+            repeat: text("x-resent") == Some("1"),
+        }
+    }
+}
+
+fn is_id(text: &str) -> bool {
+    text.len() == 16 && text.bytes().all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b))
+}
+
+/// A number for what the query says that a request is about.
+fn key(query: &str) -> Option<u64> {
+    let text = query.split('&').find_map(|pair| pair.strip_prefix("sid="))?;
+    let mut hasher = fnv::FnvHasher::default();
+    hasher.write(text.as_bytes());
+    Some(hasher.finish())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hyper::header::{HeaderName, HeaderValue};
+    use proptest::prelude::*;
+
+    proptest! {
+        /// Any bytes that may stand in a head are read without a panic, and a figure only from plain digits.
+        #[test]
+        fn any_head_is_read(
+            path in "/[ -~&&[^#?{}<>\"` ^|\\\\]]{0,30}",
+            fields in prop::collection::vec((0usize..7, prop::collection::vec(any::<u8>(), 0..24)), 0..8),
+        ) {
+            let names = ["x-lane", "x-txn", "x-remaining-ms", "x-org", "x-estimate", "x-resent", "x-labels"];
+            let mut headers = HeaderMap::new();
+            for (name, value) in fields {
+                if let Ok(value) = HeaderValue::from_bytes(&value) {
+                    headers.insert(HeaderName::from_static(names[name]), value);
+                }
+            }
+            let Ok(uri) = path.parse::<Uri>() else { return Ok(()) };
+            let asked = Asked::read(&uri, &headers);
+            if asked.remaining.is_some() {
+                let text = headers["x-remaining-ms"].to_str().unwrap();
+                prop_assert!(text.trim_start_matches('+').bytes().all(|b| b.is_ascii_digit()), "{text}");
+            }
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 mod discovery;
 mod driver;
 mod front;
+pub mod head;
 mod input;
 mod list;
 mod peers;
--- /dev/null
+++ b/crates/node/tests/fuzz.rs
@@ -0,0 +1,81 @@
+//! Whatever stands in a platform's configuration, checking it ends in a verdict that names a fault.
+
+use merlinfold_node::Config;
+use proptest::prelude::*;
+use serde_json::{json, Value};
+
+fn valid() -> Value {
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"index": 41, "snapshot": true, "endpoints": [
+            {"name": "s-5be2a07c", "address": "10.1.0.18:8081", "zone": "a", "type": "m2", "group": 3,
+             "status": "in_service", "weight": 1.0, "since_ms": 0}]},
+        "settings": {"Balancers": 1, "Me": 0, "Discovery": "push", "Locality": "a", "Zones": ["a"],
+            "Categories": [{"Name": "read", "Aim": 4_000_000, "GiveUp": 5_000_000, "Semantics": "repeatable"}],
+            "Limits": {"ConnIdle": 30_000_000, "ConnectTimeout": 1_000_000, "MaxAttempts": 1},
+            "Obligations": {"StopSendingWithin": 500_000, "RampTime": 1, "TipAfter": 1}}})
+}
+
+/// Paths of all values.
+fn paths(value: &Value, at: String, all: &mut Vec<String>) {
+    match value {
+        Value::Object(fields) => {
+            fields.iter().for_each(|(name, value)| paths(value, format!("{at}/{name}"), all));
+        }
+        Value::Array(values) => {
+            values.iter().enumerate().for_each(|(n, value)| paths(value, format!("{at}/{n}"), all));
+        }
+        _ => {}
+    }
+    all.push(at);
+}
+
+fn odd() -> impl Strategy<Value = Value> {
+    prop_oneof![
+        Just(Value::Null),
+        Just(json!([])),
+        Just(json!({})),
+        Just(json!(-1)),
+        Just(json!(u64::MAX)),
+        Just(json!(1e300)),
+        Just(json!("")),
+        Just(json!("\u{0}\u{e9}x")),
+        any::<u64>().prop_map(|n| json!(n)),
+        "[a-z0-9:.]{0,20}".prop_map(|text| json!(text)),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 800, ..ProptestConfig::default() })]
+
+    #[test]
+    fn any_value_at_any_place_ends_in_a_verdict(edits in prop::collection::vec((any::<usize>(), odd()), 0..4)) {
+        let mut config = valid();
+        let whole = edits.is_empty();
+        for (place, value) in edits {
+            let mut all = Vec::new();
+            paths(&config, String::new(), &mut all);
+            if let Some(target) = config.pointer_mut(&all[place % all.len()]) {
+                *target = value;
+            }
+        }
+        match Config::validate(&config.to_string()) {
+            Ok(()) => {}
+            Err(fault) => prop_assert!(!whole && fault.len() > 3, "{}", fault),
+        }
+    }
+
+    #[test]
+    fn any_text_ends_in_a_verdict_with_its_line(cut in any::<usize>(), byte in any::<u8>(), at in any::<usize>()) {
+        let mut text = serde_json::to_vec_pretty(&valid()).unwrap();
+        let length = text.len();
+        text[at % length] = byte;
+        text.truncate(cut % (length + 1));
+        let text = String::from_utf8_lossy(&text);
+        if let Err(fault) = Config::validate(&text) {
+            let line = fault.split(':').next().and_then(|line| line.trim().parse::<usize>().ok());
+            prop_assert!(line.is_none_or(|line| line <= length));
+        }
+    }
+}
--- /dev/null
+++ b/fuzz/fuzz_targets/message.rs
@@ -0,0 +1,9 @@
+//! The lab's reading of HTTP messages, from nodes and from clients.
+#![no_main]
+
+use merlinfold_lab::http::{parse, Side};
+
+libfuzzer_sys::fuzz_target!(|bytes: &[u8]| {
+    let _ = parse(bytes, Side::Server);
+    let _ = parse(bytes, Side::Client);
+});
