--- a/crates/lab/src/html.rs
+++ b/crates/lab/src/html.rs
@@ -123,7 +123,12 @@
             }
         }
         if lines.iter().any(|(name, ..)| !name.is_empty()) {
-            chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+            chart
+                .configure_series_labels()
+                .position(SeriesLabelPosition::MiddleLeft)
+                .background_style(WHITE.mix(0.8))
+                .border_style(BLACK)
+                .draw()?;
         }
         area.present()?;
     }
