Give the lab more improper peers and a verdict on descriptors; record a change taken back

A node that used all of its descriptors passed, and all improper peers sent nothing. The lab now says so, and half of those peers send half a head or no HTTP.

--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -25,6 +25,10 @@
 /// Idle connections that all clients keep to one node.
 const IDLE_MOST: usize = 256;
 
+/// What peers send that send no proper request.
+const IMPROPER: [&[u8]; 4] =
+    [b"", b"", b"GET /track-fetch HTTP/1.1\r\nHost: serv", b"\x16\x03\x01\x02\x00nonsense\r\n\r\n"];
+
 struct Desk {
     day: Experiment,
     clients: Clients,
@@ -268,7 +272,7 @@
         .into_bytes()
     }
 
-    /// One peer that connects and sends nothing; it stays until it has an error or a close, or twice the time
+    /// One peer that connects and sends nothing, half a head or no HTTP, in turn; it stays until it has an error or a close, or twice the time
     /// in which it is owed that.
     pub async fn silent_peer(self, node: usize) {
         let (at, most, clock) = {
@@ -279,6 +283,8 @@
         let Ok(Ok(mut stream)) = timeout(Duration::from_nanos(most), TcpStream::connect(at)).await else {
             return;
         };
+        let turn = self.lock().peers.len() % IMPROPER.len();
+        let _ = stream.write_all(IMPROPER[turn]).await;
         let read = timeout(Duration::from_nanos(most), stream.read(&mut [0; 64])).await;
         let ended = read.is_ok().then(|| clock.now());
         self.lock().peers.push(Peer { node, at: from, ended });
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -302,6 +302,9 @@
             if used.memory_mb > limit.memory_mb {
                 let what = format!("{:.1} MB of {} MB of memory", used.memory_mb, limit.memory_mb);
                 faults.push((node, Life::Exceeded(what)));
+            } else if used.descriptors >= limit.sockets as u64 {
+                let what = format!("all of its {} descriptors are in use", limit.sockets);
+                faults.push((node, Life::Exceeded(what)));
             }
         }
         for (node, life) in faults {
