Let the lab's discovery count its versions anew after an outage

A discovery that comes back has started anew and counts from 1; the model kept its versions, so that a node which trusts them too far would have passed. Whoever asks for a version it does not have gets the whole list.

--- a/crates/world/src/discovery.rs
+++ b/crates/world/src/discovery.rs
@@ -124,9 +124,14 @@
         self.coming.push(Reverse((now + millis(late), self.next, server)));
     }
 
-    /// Whether it is out of service. While it is, every call fails; watches end.
+    /// Whether it is out of service. While it is, every call fails; watches end. Back in service it has
+    /// started anew: it counts its versions from 1 and knows no changes, only the list.
     pub fn set_down(&mut self, now: Nanos, down: bool, out: &mut Vec<Answer>) {
         self.advance(now, out);
+        if self.down && !down {
+            self.index = 1;
+            self.entries.values_mut().for_each(|entry| entry.changed = 1);
+        }
         self.down = down;
         if down {
             let queued = std::mem::take(&mut self.queue).into_iter().map(|(call, ..)| call);
