Name a batch time that goes back, and let sums of times saturate

The adapter now names a time that goes back or exceeds 2^61 ns, latencies beyond 13 days and weights beyond 10^6 are bounded, and sums of times saturate.

--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -44,6 +44,8 @@
 const TELL_TICKS: u32 = 10; // mean number of ticks between messages to peers, to make them few
 const NEWS_PART: usize = 6; // one peer in each so many servers hears of an answer: about once in six sends
 const NEWS_STEPS: f64 = 16.0; // steps of a doubling in which slowness is told
+const LATENCY_MOST: Nanos = 1 << 50; // thirteen days, ns: what is told beyond that is a fault of the clock
+const WEIGHT_MOST: f64 = 1e6; // of a server: sums of weights stay exact enough
 const STRAIN_WINDOW: f64 = 5e8; // of recent answers; without any the strain fades, ns
 
 #[derive(Default)]
@@ -167,7 +169,7 @@
             self.started = true;
             out.push(Action::Timer { after: TICK, token: 0 });
             if self.set.discovery == Discovery::Ask {
-                self.ask_at = now + self.jitter(self.set.ask_within / 8);
+                self.ask_at = now.saturating_add(self.jitter(self.set.ask_within / 8));
             }
         }
         match event {
@@ -189,7 +191,8 @@
         if kind == ListKind::Failed {
             // Discovery is a small shared capacity: ask again later each time, never in step.
             self.ask_failures += 1;
-            self.ask_at = now + self.jitter((self.set.ask_within / 16) << self.ask_failures.min(3));
+            self.ask_at =
+                now.saturating_add(self.jitter((self.set.ask_within / 16) << self.ask_failures.min(3)));
             return;
         }
         if kind != ListKind::Persisted {
@@ -201,7 +204,9 @@
                 server.entry.readiness = Readiness::Gone;
             }
         }
-        entries.iter_mut().for_each(|e| e.weight = if self.set.weighted { e.weight.max(1e-3) } else { 1.0 });
+        entries
+            .iter_mut()
+            .for_each(|e| e.weight = if self.set.weighted { e.weight.clamp(1e-3, WEIGHT_MOST) } else { 1.0 });
         let turns = entries.iter().map(|e| e.weight).sum::<f64>().max(self.servers.len() as f64 + 1.0);
         for entry in entries {
             let known = self.servers.get_mut(&entry.id);
@@ -457,7 +462,7 @@
         for id in waiting {
             // Held no longer than leaves time to be answered; then sent wherever it may go.
             let held = &self.requests[&id];
-            let need = self.usual[held.class].mean as Nanos + 2 * TICK;
+            let need = (self.usual[held.class].mean as Nanos).saturating_add(2 * TICK);
             let patient = held.aim_at.min(held.deadline).saturating_sub(need) > now;
             let pool = self.pool[held.class];
             free[pool] = (free[pool] || !patient) && self.send(now, id, patient, out);
@@ -529,7 +534,8 @@
             Effect::Keyed { window, .. } => overdue < window,
         };
         let spare = held.attempts.len() + 1 < self.set.max_attempts as usize && self.retries >= 1.0;
-        let time = now + overdue + usual.mean as Nanos <= held.aim_at.min(held.deadline);
+        let end = now.saturating_add(overdue).saturating_add(usual.mean as Nanos);
+        let time = end <= held.aim_at.min(held.deadline);
         // Under strain the aim ends it, if late answers are worth nothing: work may stop with it.
         let cut = class.late_worth <= 0.0 && self.excess(held.class, 0.0) >= STRAIN_FROM;
         match again && spare && time {
@@ -542,6 +548,7 @@
         let Event::Outcome { id, attempt, server: at, status, latency, terminal, report } = event else {
             return;
         };
+        let latency = latency.min(LATENCY_MOST);
         let Some(held) = self.requests.get_mut(&id) else { return };
         let (class, aim_at, over) = (held.class, held.aim_at, held.over || terminal);
         let Some(tried) = held.attempts.get_mut(attempt as usize).filter(|a| a.open) else { return };
@@ -663,7 +670,7 @@
         let Some(server) = self.servers.get_mut(&id) else { return };
         if status == Status::Full {
             // Not ill, but refilled at once it would stay full: the fuller, the less it gets done.
-            server.pace[class].busy_until = now + (2.0 * usual * jitter) as Nanos;
+            server.pace[class].busy_until = now.saturating_add((2.0 * usual * jitter) as Nanos);
             return;
         }
         server.strikes += 1;
@@ -702,7 +709,7 @@
         }
         if now >= self.ask_at {
             // One subscription; if no answer comes at all it counts as failed after a while.
-            self.ask_at = now + self.set.ask_within;
+            self.ask_at = now.saturating_add(self.set.ask_within);
             out.push(Action::Watch);
         }
     }
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -135,6 +135,9 @@
 
 type Fault = String;
 
+/// The latest time that is taken, ns: far beyond any day, and far from where sums of times overflow.
+const TIME_MOST: Nanos = 1 << 61;
+
 /// One node with its names.
 struct Instance {
     balancer: Balancer,
@@ -199,6 +202,7 @@
 #[derive(Default)]
 pub struct Host {
     now: Option<(Nanos, u64)>,
+    latest: Nanos,
     tables: BTreeMap<u64, Vec<Entry>>,
     instances: BTreeMap<u64, Instance>,
     actions: Vec<Action>,
@@ -218,7 +222,14 @@
             if line.msg != "Frame" {
                 return Err(format!("{} outside of a batch", line.msg));
             }
-            self.now = Some((need(line.Time, "Time")?, need(line.seq, "seq")?));
+            let (now, seq) = (need(line.Time, "Time")?, need(line.seq, "seq")?);
+            if now < self.latest || now > TIME_MOST {
+                let latest = self.latest;
+                return Err(format!(
+                    "Time {now} is not between that of the last batch, {latest}, and {TIME_MOST}"
+                ));
+            }
+            (self.now, self.latest) = (Some((now, seq)), now);
             self.reply.clear();
             return Ok(None);
         };
--- a/crates/drill/tests/fuzz.rs
+++ b/crates/drill/tests/fuzz.rs
@@ -91,6 +91,17 @@
     }
 }
 
+#[test]
+fn time_that_goes_back_or_out_of_bounds_is_named() {
+    for (first, then) in [(2_000_000_000u64, 1_000_000_000u64), (1, u64::MAX), (u64::MAX, u64::MAX)] {
+        let mut host = Host::default();
+        let frame = |time: u64| format!(r#"{{"msg":"Frame","Time":{time},"seq":1}}"#).into_bytes();
+        let mut lines = [frame(first), br#"{"msg":"Eob"}"#.to_vec(), frame(then)].into_iter();
+        let fault = lines.find_map(|line| host.line(&line).err()).expect("one of the times is refused");
+        assert!(fault.contains(&format!("Time {then}")), "{fault}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 600, ..ProptestConfig::default() })]
 
