Find the best server by an index: a decision no longer looks at every server

A decision took 2.4 us at 16 servers and 6.4 ms at 16,384, a tick 0.8 us and 5.9 ms, a list change 2.8 us and 9.9 ms: every pick, tick and list went over all servers. A gone server whose last attempt was served is forgotten now (a leak; test).

--- /dev/null
+++ b/crates/decide/benches/memory.rs
@@ -0,0 +1,48 @@
+//! What a server costs in memory: `cargo bench -p merlinfold-decide --bench memory`. Linux only.
+
+use std::fs;
+
+use merlinfold_decide::interface::*;
+use merlinfold_decide::policy::Balancer;
+
+const PAGE: u64 = 4_096; // bytes, of what the kernel counts by
+const NODES: usize = 16;
+const MS: Nanos = 1_000_000;
+
+/// Resident memory of this process, bytes; 0 where it is not told.
+fn resident() -> u64 {
+    let told = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    told.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok()).unwrap_or(0) * PAGE
+}
+
+fn entry(n: u32) -> ServerEntry {
+    let tag = u64::from(n).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    ServerEntry { id: ServerId(n), tag, weight: 1.0, ..ServerEntry::default() }
+}
+
+fn main() {
+    let mut all = Vec::new(); // kept: what one leaves behind would be counted as free for the next
+    for (servers, classes) in [(4_096, 1), (16_384, 1), (16_384, 2), (16_384, 6)] {
+        let class = Class {
+            aim: 300 * MS,
+            deadline: 750 * MS,
+            worth: 1.0,
+            late_worth: 0.0,
+            effect: Effect::Safe,
+            placement: Placement::default(),
+        };
+        let set = Settings { classes: vec![class; classes], nodes: 1, ..Settings::default() };
+        let before = resident();
+        let nodes: Vec<Balancer> = (0..NODES)
+            .map(|seed| {
+                let mut node = Balancer::new(set.clone(), seed as u64);
+                let entries = (0..servers).map(entry).collect();
+                node.handle(MS, Event::Servers { kind: ListKind::Persisted, entries }, &mut Vec::new());
+                node
+            })
+            .collect();
+        let each = (resident() - before) / (NODES as u64 * u64::from(servers));
+        println!("{servers} servers, {classes} classes: {each} bytes a server");
+        all.push(nodes);
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -46,3 +46,4 @@
 mod counters;
 pub mod interface;
 pub mod policy;
+mod ring;
--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -5,10 +5,11 @@
 //! ready server with the least q_m^x_m, the chance that it is still busy, gets the next attempt.
 //! Each departure from it is argued where it stands, at its constant or its function.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::counters::{mean, median, Decayed, Sliding, Usual};
 use crate::interface::*;
+use crate::ring::{self, Line, Part, Ring, Slot};
 
 const SECOND: f64 = 1e9; // ns
 const TICK: Nanos = 50_000_000; // between rounds of housekeeping, ns: short beside what people wait
@@ -28,9 +29,16 @@
 const ROTATION_LEAST: f64 = 8.0; // servers in a rotation that all nodes share: fast and slow ones
 const ROTATION_SPARE: f64 = 1.25; // servers in the rotation for each job under way without queues
 const NEAR: f64 = 40.0; // weight of an age in the own zone, per unit of the price of leaving it
-const WARM_KEY: f64 = 6.0; // weight of an age where the key is kept warm
+const WARM_KEY: u128 = 6; // weight of an age where the key is kept warm
 const LEFT_LEAST: f64 = 0.05; // of a server's speed, to classes that may go elsewhere
-const TRIED: f64 = 1e-3; // weight of an age where the request failed before: nothing else is left
+const SLOPE_UNIT: f64 = (1u64 << 40) as f64; // of slopes in the ring: worth of an age of one at usual speed
+const SLOPE_MOST: f64 = (1u64 << 61) as f64;
+const SCALE_NEAR: f64 = 0.02; // of the scale of speeds: less changes no turn
+const SWEEP: usize = 32; // servers drawn anew in a tick: all of a small fleet, a quarter as many else
+const WARM_AMONG: usize = 32; // servers that draw for a key: more would draw in vain
+const HEED_AGAIN: f64 = 3.0 / 8.0; // of the servers: suspects are heeded again below, no longer above half
+const COLD_STEPS: u64 = 32; // in which a cold server's warmth grows
+const COLD_STEP: Nanos = 1_000_000; // least time between two looks at a cold server's allowance, ns
 const DEPTHS: usize = 8; // own attempts at a server that are told apart
 const DEPTH_SAMPLES: f64 = 16.0; // answers that make a depth known
 const DEPTH_SLOWER: f64 = 1.35; // than an idle server: a depth that is slower queues
@@ -43,6 +51,7 @@
 const STRAIN_GAIN: f64 = 1.0 / 32.0; // least weight of an answer in the strain: one may be chance
 const TELL_TICKS: u32 = 10; // mean number of ticks between messages to peers, to make them few
 const NEWS_PART: usize = 6; // one peer in each so many servers hears of an answer: about once in six sends
+const NEWS_PEERS: usize = 8; // that hear of it at most: messages must not grow with nodes times servers
 const NEWS_STEPS: f64 = 16.0; // steps of a doubling in which slowness is told
 const LATENCY_MOST: Nanos = 1 << 50; // thirteen days, ns: what is told beyond that is a fault of the clock
 const WEIGHT_MOST: f64 = 1e6; // of a server: sums of weights stay exact enough
@@ -59,6 +68,22 @@
     back_at: Nanos,
     allowance: f64, // Sends that the fall budget leaves this node while the server is cold, as of when.
     refilled: Nanos,
+    slot: Option<Slot>, // In the ring, while it is ready.
+    wake: Nanos,        // When time alone changes what it is worth; 0: never.
+    suspect: bool,      // This and its speed as of the last time its lines were drawn.
+    speed: Option<f64>,
+    sent: VecDeque<(Nanos, RequestId, u32)>, // Attempts that are out, in the order of sends.
+}
+
+/// What the ring holds for a class, all told.
+#[derive(Clone, Copy, Default)]
+struct Tally {
+    allowed: u32,
+    suspects: u32,
+    known: u32, // Servers whose speed is known, the sum of that, and the weight of the others.
+    speed: f64,
+    weight: f64,
+    unheeded: bool, // Too many are suspect to leave them all out.
 }
 
 /// How a server serves one class.
@@ -66,7 +91,6 @@
 struct Pace {
     slowness: Option<f64>, // smoothed latency over the usual of the class; none until it answers
     learned: Nanos,
-    ln_q: f64, // of what the classes bound to few servers leave of it to those that may go anywhere
     busy_until: Nanos, // as it was turned away
 }
 
@@ -96,7 +120,8 @@
     aim_at: Nanos,
     deadline: Nanos,
     attempts: Vec<Attempt>,
-    over: bool, // The final answer has been given.
+    over: bool,           // The final answer has been given.
+    waits: Option<Nanos>, // It waits for a server, and may until then.
 }
 
 /// Load as seen by the classes that may go to the same servers.
@@ -111,6 +136,18 @@
     answered: Decayed,
 }
 
+impl Tally {
+    /// A server of this weight is known at another speed, for the first time or no longer.
+    fn know(&mut self, weight: f64, was: Option<f64>, speed: Option<f64>) {
+        self.speed += speed.unwrap_or(0.0) - was.unwrap_or(0.0);
+        match (was, speed) {
+            (None, Some(_)) => (self.known, self.weight) = (self.known + 1, self.weight - weight),
+            (Some(_), None) => (self.known, self.weight) = (self.known - 1, self.weight + weight),
+            _ => {}
+        }
+    }
+}
+
 /// One node's decisions: a state machine without input or output of its own.
 #[derive(Default)]
 pub struct Balancer {
@@ -119,11 +156,21 @@
     servers: BTreeMap<ServerId, Server>,
     by_tag: BTreeMap<u32, ServerId>, // Servers by what names them in messages.
     news: Vec<u8>,                   // What has been learned since peers were told.
-    order: Vec<ServerId>, // Ready servers in the order in which this node's rotation takes them in.
+    ring: Ring, // Ready servers in the order of their tags, with what each is worth to each class.
+    tallies: Vec<Tally>,
+    suspects: BTreeSet<ServerId>,
+    wakes: BTreeSet<(Nanos, ServerId)>,
+    occupied: BTreeSet<ServerId>,     // Those with own attempts out.
+    homes: BTreeMap<u128, ServerId>,  // Ready servers of the own zone, by tag.
+    cells: BTreeSet<(u64, ServerId)>, // Servers by cell.
+    limit: u32,                       // Own attempts that a server takes side by side.
+    swept: Option<ServerId>,          // The last one that the sweep has passed.
+    speeds: Speeds,
+    weights: f64, // Of the ready servers, in all.
     requests: BTreeMap<RequestId, Held>,
-    waiting: Vec<RequestId>, // Admitted requests for which every server of the rotation was taken.
-    depths: [Usual; DEPTHS], // Slowness by own attempts at the server.
-    usual: Vec<Usual>,       // Latency of each class, and the least that it has been: that without queues.
+    waiting: BTreeSet<(usize, Nanos, RequestId)>, // Admitted, by class and how long they may wait.
+    depths: [Usual; DEPTHS],                      // Slowness by own attempts at the server.
+    usual: Vec<Usual>, // Latency of each class, and the least that it has been: that without queues.
     base: Vec<f64>,
     service: Usual, // Time that servers say a request takes them.
     sends: i64,
@@ -139,7 +186,14 @@
     started: bool,
     ask_at: Nanos, // When to ask for the server list next, and failures of that in a row.
     ask_failures: u32,
-    mean_size: f64, // Mean weight of the ready servers.
+}
+
+/// What speeds are reckoned with, as of the last tick.
+#[derive(Clone, Default)]
+struct Speeds {
+    unknown: f64,             // Of a server that has not answered, for each unit of weight.
+    scale: f64,               // Speed over the sends of all nodes: μ/λ of a speed of one.
+    bound: Vec<(usize, f64)>, // Part of their servers that the classes bound to them need.
 }
 
 impl Balancer {
@@ -155,6 +209,10 @@
             pool: set.classes.iter().filter_map(first_like).collect(),
             pools: set.classes.iter().map(|_| Pool::default()).collect(),
             work: vec![Decayed::default(); set.classes.len()],
+            ring: Ring::new(set.classes.len()),
+            tallies: vec![Tally::default(); set.classes.len()],
+            speeds: Speeds { unknown: 1.0, scale: 1.0, bound: Vec::new() },
+            limit: u32::MAX,
             retries: RETRY_RESERVE,
             budget: set.attempt_budget.unwrap_or(UNSTATED),
             ask_at: Nanos::MAX,
@@ -172,6 +230,7 @@
                 self.ask_at = now.saturating_add(self.jitter(self.set.ask_within / 8));
             }
         }
+        self.awake(now);
         match event {
             Event::Servers { kind, entries } => self.servers_told(now, kind, entries),
             Event::Request(request) => self.request(now, request, out),
@@ -183,6 +242,11 @@
         }
     }
 
+    /// Servers that this node holds anything about.
+    pub fn known_servers(&self) -> usize {
+        self.servers.len()
+    }
+
     fn jitter(&mut self, most: Nanos) -> Nanos {
         most / 2 + self.rng.u64(0..=most / 2)
     }
@@ -198,77 +262,262 @@
         if kind != ListKind::Persisted {
             (self.ask_failures, self.ask_at) = (0, Nanos::MAX);
         }
+        let mut changed: BTreeSet<ServerId> = entries.iter().map(|e| e.id).collect();
         if kind != ListKind::Partial {
-            let listed: std::collections::BTreeSet<_> = entries.iter().map(|e| e.id).collect();
-            for server in self.servers.values_mut().filter(|s| !listed.contains(&s.entry.id)) {
+            for server in self.servers.values_mut().filter(|s| !changed.contains(&s.entry.id)) {
                 server.entry.readiness = Readiness::Gone;
             }
+            changed.extend(self.servers.keys());
         }
-        entries
-            .iter_mut()
-            .for_each(|e| e.weight = if self.set.weighted { e.weight.clamp(1e-3, WEIGHT_MOST) } else { 1.0 });
-        let turns = entries.iter().map(|e| e.weight).sum::<f64>().max(self.servers.len() as f64 + 1.0);
+        let weight = |w: f64| if self.set.weighted { w.clamp(1e-3, WEIGHT_MOST) } else { 1.0 };
+        entries.iter_mut().for_each(|e| e.weight = weight(e.weight));
+        let more = entries.iter().filter(|e| !self.servers.contains_key(&e.id));
+        let turns = (self.weights + more.map(|e| e.weight).sum::<f64>()).max(self.servers.len() as f64 + 1.0);
         for entry in entries {
-            let known = self.servers.get_mut(&entry.id);
-            let out = known.as_ref().map_or(0, |s| s.out);
-            let same = |s: &&mut Server| s.entry.since == entry.since && s.entry.readiness != Readiness::Gone;
-            if let Some(s) = known.filter(same) {
-                s.entry = entry;
+            let known = self.servers.remove(&entry.id);
+            let known = known.map(|s| self.withdraw(s));
+            let same = |s: &Server| s.entry.since == entry.since && s.entry.readiness != Readiness::Gone;
+            let server = match known {
+                Some(s) if same(&s) => Server { entry, ..s },
+                known => {
+                    // New, or started anew: an infinite age would bring every node's next request down on it
+                    // at once, so it enters at a random phase of its own turn, a short one if it is fast.
+                    let last = self.sends - (self.rng.f64() * turns / entry.weight).ceil() as i64;
+                    let (tie, allowance) = (self.rng.u64(..), self.rng.f64());
+                    let pace = vec![Pace::default(); self.set.classes.len()];
+                    let (out, sent) = known.map(|s| (s.out, s.sent)).unwrap_or_default();
+                    Server {
+                        entry,
+                        tie,
+                        last,
+                        out,
+                        sent,
+                        pace,
+                        allowance,
+                        refilled: now,
+                        ..Server::default()
+                    }
+                }
+            };
+            self.servers.insert(server.entry.id, server);
+        }
+        for id in changed {
+            let Some(server) = self.servers.remove(&id) else { continue };
+            let mut server = self.withdraw(server);
+            let entry = &server.entry;
+            if entry.readiness == Readiness::Gone && server.out == 0 {
                 continue;
             }
-            // New, or started anew: an infinite age would bring every node's next request down on it
-            // at once, so it enters at a random phase of its own turn, a short one if it is fast.
-            let last = self.sends - (self.rng.f64() * turns / entry.weight).ceil() as i64;
-            let (tie, allowance) = (self.rng.u64(..), self.rng.f64());
-            let pace = vec![Pace::default(); self.set.classes.len()];
-            let server =
-                Server { entry, tie, last, out, pace, allowance, refilled: now, ..Server::default() };
-            self.servers.insert(server.entry.id, server);
+            self.by_tag.insert(entry.tag as u32 >> 8, id);
+            self.cells.insert((entry.cell, id));
+            if entry.readiness == Readiness::Ready {
+                // One ring for all nodes, each starting elsewhere: small rotations cover all servers alike.
+                let key = ring::key(entry.tag, id.0);
+                server.slot = Some(self.ring.insert(key));
+                self.weights += entry.weight;
+                if entry.zone == self.set.zone {
+                    self.homes.insert(key, id);
+                }
+                for (tally, class) in self.tallies.iter_mut().zip(&self.set.classes) {
+                    let allowed = class.placement.allows(entry);
+                    tally.allowed += u32::from(allowed);
+                    tally.weight += if allowed { entry.weight } else { 0.0 };
+                }
+            }
+            self.servers.insert(id, server);
+            self.draw(now, id);
+        }
+        self.sweep(now);
+    }
+
+    /// Takes a server out of all that is found by something else than its number.
+    fn withdraw(&mut self, mut server: Server) -> Server {
+        let (entry, id) = (&server.entry, server.entry.id);
+        self.wakes.remove(&(server.wake, id));
+        self.cells.remove(&(entry.cell, id));
+        if self.by_tag.get(&(entry.tag as u32 >> 8)) == Some(&id) {
+            self.by_tag.remove(&(entry.tag as u32 >> 8));
+        }
+        if server.out == 0 {
+            self.occupied.remove(&id);
+        }
+        if let Some(slot) = server.slot.take() {
+            self.ring.remove(slot);
+            self.homes.remove(&ring::key(entry.tag, id.0));
+            self.weights -= entry.weight;
+            let (suspect, speed) = (std::mem::take(&mut server.suspect), server.speed.take());
+            let tallies = self.tallies.iter_mut().zip(&self.set.classes);
+            for (tally, _) in tallies.filter(|(_, class)| class.placement.allows(entry)) {
+                tally.suspects -= u32::from(suspect);
+                tally.know(entry.weight, speed, None);
+                tally.weight -= entry.weight;
+                tally.allowed -= 1;
+                if tally.allowed == 0 {
+                    *tally = Tally::default(); // sums of floats end at about nothing
+                }
+            }
+            self.suspects.remove(&id);
         }
-        self.servers.retain(|_, s| s.entry.readiness != Readiness::Gone || s.out > 0);
-        // One ring for all nodes, each with a start of its own: small rotations cover all servers alike.
-        let ready = self.servers.values().filter(|s| s.entry.readiness == Readiness::Ready);
-        let mut ring: Vec<(u64, ServerId)> = ready.map(|s| (s.entry.tag, s.entry.id)).collect();
-        ring.sort_unstable();
-        let start = ring.len() * (self.set.me % self.set.nodes) as usize / self.set.nodes as usize;
-        ring.rotate_left(start);
-        self.order = ring.into_iter().map(|(_, id)| id).collect();
-        self.by_tag = self.servers.values().map(|s| (s.entry.tag as u32 >> 8, s.entry.id)).collect();
-        self.mean_size = mean(self.order.iter().map(|id| self.servers[id].entry.weight)).unwrap_or(1.0);
+        server.wake = 0;
+        server
+    }
+
+    /// Draws anew what a server is worth to each class, after anything about it has changed.
+    fn draw(&mut self, now: Nanos, id: ServerId) {
+        let Some(server) = self.servers.get(&id) else { return };
+        let Some(slot) = server.slot else { return };
+        let entry = &server.entry;
+        let warmth = self.warmth(now, entry);
+        let mut wake = Nanos::MAX;
+        let mut spent = false;
+        if warmth < 1.0 {
+            let cold_rate = self.cold_rate(now);
+            let rate = cold_rate * warmth * self.set.fall_multiple * entry.weight / self.mean_size();
+            let left = self.allowance(now, server, warmth, cold_rate);
+            spent = left < 1.0;
+            let until = if spent { 1.0 } else { 1.0 + rate * self.set.tip_after as f64 };
+            let step = (self.set.ramp_time / COLD_STEPS).max(TICK);
+            wake = now + (((until - left) / rate.max(1e-18)).ceil() as Nanos).clamp(COLD_STEP, step);
+        }
+        let suspect = server.back_at > now || server.strikes >= STRIKES && server.out > 0;
+        if server.back_at > now {
+            wake = wake.min(server.back_at);
+        }
+        let (speeds, any) = (&self.speeds, self.speed(server));
+        // A class that may go anywhere sees only the speed that those bound to a server leave of it.
+        let bound = speeds.bound.iter().filter(|(n, _)| self.set.classes[*n].placement.allows(entry));
+        let left = (1.0 - bound.map(|(_, part)| part).sum::<f64>()).max(LEFT_LEAST);
+        let near = 1.0 + NEAR * self.set.cross_zone_price;
+        // What is known beats what is likely: with attempts out the age cheapens less.
+        let alike =
+            if entry.zone == self.set.zone { near } else { 1.0 } * warmth / f64::from(1 + server.out).powi(2);
+        for (n, class) in self.set.classes.iter().enumerate() {
+            let pace = &server.pace[n];
+            if !class.placement.allows(entry) {
+                continue;
+            }
+            let busy = pace.busy_until > now;
+            if busy {
+                wake = wake.min(pace.busy_until);
+            }
+            let left = if class.placement.is_free() { left } else { 1.0 };
+            let own = pace.slowness.map_or(any, f64::recip) * left;
+            // -ln q, over a scale that all servers share: it is worth the same whenever it was drawn.
+            let slope = (own * speeds.scale).ln_1p() / speeds.scale * alike;
+            let counts = !busy && !spent && (self.tallies[n].unheeded || !suspect);
+            let free = counts && server.out < self.limit;
+            let slope = if free { (slope * SLOPE_UNIT).clamp(1.0, SLOPE_MOST) as u64 } else { 0 };
+            self.ring.set(slot, n, Line { slope, last: server.last, tie: server.tie, counts });
+        }
+        let wake = if wake == Nanos::MAX { 0 } else { wake };
+        let (speed, was) = (server.slowness().map(f64::recip), server.speed);
+        if (wake, suspect, speed) == (server.wake, server.suspect, was) {
+            return;
+        }
+        if server.wake > 0 {
+            self.wakes.remove(&(server.wake, id));
+        }
+        if wake > 0 {
+            self.wakes.insert((wake, id));
+        }
+        let turned = suspect != server.suspect;
+        let allowing = self.tallies.iter_mut().zip(&self.set.classes);
+        for (tally, _) in allowing.filter(|(_, class)| class.placement.allows(entry)) {
+            tally.know(entry.weight, was, speed);
+            tally.suspects += u32::from(suspect && turned);
+            tally.suspects -= u32::from(!suspect && turned);
+        }
+        if turned {
+            if suspect {
+                self.suspects.insert(id);
+            } else {
+                self.suspects.remove(&id);
+            }
+        }
+        if let Some(server) = self.servers.get_mut(&id) {
+            (server.wake, server.suspect, server.speed) = (wake, suspect, speed);
+        }
+        if turned {
+            self.heed(now);
+        }
+    }
+
+    /// A trouble that over half share must not leave a few to carry everything: all stay in.
+    fn heed(&mut self, now: Nanos) {
+        let mut turned = false;
+        for tally in &mut self.tallies {
+            let share = f64::from(tally.suspects) / f64::from(tally.allowed.max(1));
+            // Heeded again somewhat below: a fleet on the brink would be drawn anew with every failure.
+            let unheeded = share > if tally.unheeded { HEED_AGAIN } else { 0.5 };
+            turned |= unheeded != tally.unheeded;
+            tally.unheeded = unheeded;
+        }
+        if turned {
+            for id in self.suspects.clone() {
+                self.draw(now, id);
+            }
+        }
+    }
+
+    /// Draws anew those servers that the time has changed.
+    fn awake(&mut self, now: Nanos) {
+        while let Some(&(at, id)) = self.wakes.first().filter(|(at, _)| *at <= now) {
+            self.wakes.remove(&(at, id));
+            if let Some(server) = self.servers.get_mut(&id) {
+                server.wake = 0;
+            }
+            self.draw(now, id);
+        }
+    }
+
+    fn speed(&self, server: &Server) -> f64 {
+        server.slowness().map_or(self.speeds.unknown * server.entry.weight, f64::recip)
+    }
+
+    /// Draws servers anew, some at a time, as what their speeds are reckoned with has moved.
+    fn sweep(&mut self, now: Nanos) {
+        use std::ops::Bound::{Excluded, Unbounded};
         self.reckon(now);
+        let some = if self.servers.len() > SWEEP { SWEEP / 4 } else { SWEEP };
+        let from = self.swept.map_or(Unbounded, Excluded);
+        let slice = self.servers.range((from, Unbounded)).map(|(&id, _)| id).take(some);
+        let slice: Vec<ServerId> = slice.collect();
+        self.swept = slice.last().copied().filter(|_| slice.len() == some);
+        slice.into_iter().for_each(|id| self.draw(now, id));
     }
 
     fn reckon(&mut self, now: Nanos) {
-        let known = self.order.iter().filter_map(|id| self.servers[id].slowness()).map(f64::recip);
-        let unknown = mean(known).unwrap_or(1.0) / self.mean_size;
+        let known: u32 = self.tallies.iter().map(|t| t.known).sum();
+        let speed: f64 = self.tallies.iter().map(|t| t.speed).sum();
+        let unknown = if known > 0 { speed.max(1e-9) / f64::from(known) } else { 1.0 } / self.mean_size();
         // The paper's dispatcher sees every arrival, a node only its part: with its own rate as λ
         // every q would be near 0 and turns even whatever the speeds, so all nodes count.
         let own = self.asked.get(now, RATE_WINDOW).max(1.0) / RATE_WINDOW;
         let scale = 1.0 / self.usual_latency() / (own * f64::from(self.set.nodes));
-        let speed = |s: &Server| s.slowness().map_or(unknown * s.entry.weight, f64::recip);
-        // A class that may go anywhere sees only the speed that those bound to a server leave of it.
-        let ready = || self.order.iter().map(|id| &self.servers[id]);
-        let open = |p: &Placement| ready().filter(|s| p.allows(&s.entry)).map(speed).sum::<f64>().max(1e-9);
-        let work = || self.work.iter().map(|w| w.get(now, RATE_WINDOW));
-        let even = open(&Placement::default()) / work().sum::<f64>().max(1e-9);
-        let classes = self.set.classes.iter().map(|c| &c.placement).zip(work());
-        let bound = classes.filter(|(p, _)| !p.is_free()).map(|(p, w)| (p.clone(), w * even / open(p)));
-        let bound: Vec<(Placement, f64)> = bound.collect();
-        let free: Vec<bool> = self.set.classes.iter().map(|c| c.placement.is_free()).collect();
-        for server in self.servers.values_mut() {
-            let needed = bound.iter().filter(|(p, _)| p.allows(&server.entry)).map(|(_, part)| part);
-            let left = (1.0 - needed.sum::<f64>()).max(LEFT_LEAST);
-            let any = speed(server);
-            for (pace, free) in server.pace.iter_mut().zip(&free) {
-                let own = pace.slowness.map_or(any, f64::recip) * if *free { left } else { 1.0 };
-                pace.ln_q = -(own * scale).ln_1p();
-            }
+        // Kept while it is about right: slopes that stay the same need no drawing.
+        let near = (scale / self.speeds.scale - 1.0).abs() < SCALE_NEAR;
+        let scale = if near { self.speeds.scale } else { scale };
+        let open = |t: &Tally| (t.speed + t.weight * unknown).max(1e-9);
+        let all = self.ring.len() as f64 * unknown * self.mean_size();
+        let work = |n: usize| self.work[n].get(now, RATE_WINDOW);
+        let classes = 0..self.set.classes.len();
+        let even = all / classes.clone().map(work).sum::<f64>().max(1e-9);
+        let bound = classes.filter(|&n| !self.set.classes[n].placement.is_free());
+        let bound = bound.map(|n| (n, work(n) * even / open(&self.tallies[n]))).collect();
+        self.speeds = Speeds { unknown, scale, bound };
+    }
+
+    /// Mean weight of the ready servers.
+    fn mean_size(&self) -> f64 {
+        match self.ring.len() {
+            0 => 1.0,
+            n => (self.weights / n as f64).max(1e-3),
         }
     }
 
     /// Ready servers for each node.
     fn fair_part(&self) -> f64 {
-        self.order.len() as f64 / f64::from(self.set.nodes)
+        self.ring.len() as f64 / f64::from(self.set.nodes)
     }
 
     fn usual_latency(&self) -> f64 {
@@ -286,13 +535,14 @@
     fn cold_rate(&self, now: Nanos) -> f64 {
         // A server takes what it has under way on the mean, an even part of one job at least.
         let under_way: f64 = self.pools.iter().map(|p| p.answered.get(now, STRAIN_WINDOW)).sum();
-        let jobs = (under_way / STRAIN_WINDOW / self.order.len() as f64).max(1.0 / f64::from(self.set.nodes));
+        let jobs =
+            (under_way / STRAIN_WINDOW / self.ring.len().max(1) as f64).max(1.0 / f64::from(self.set.nodes));
         jobs / mean(self.base.iter().copied()).unwrap_or(SECOND) * COLD_MARGIN
     }
 
     /// Sends left of this node's part of the fall budget of a cold server.
     fn allowance(&self, now: Nanos, server: &Server, warmth: f64, cold_rate: f64) -> f64 {
-        let rate = cold_rate * warmth * self.set.fall_multiple * server.entry.weight / self.mean_size;
+        let rate = cold_rate * warmth * self.set.fall_multiple * server.entry.weight / self.mean_size();
         // Savings lapse, or all nodes would come to spend theirs at the same time.
         let saved = server.allowance + rate * (now - server.refilled) as f64;
         saved % (1.0 + rate * self.set.tip_after as f64)
@@ -314,6 +564,7 @@
             if let Some(&id) = self.by_tag.get(&(word >> 8)) {
                 let all = 0..self.set.classes.len(); // peers do not say which class it was
                 self.learn(now, id, all, (f64::from(word & 255) / NEWS_STEPS - 8.0).exp2());
+                self.draw(now, id);
             }
         }
     }
@@ -324,54 +575,68 @@
             return;
         }
         let bytes = std::mem::take(&mut self.news);
-        for _ in 0..(self.order.len() / NEWS_PART).min(self.set.nodes as usize - 1) {
+        for _ in 0..(self.ring.len() / NEWS_PART).min(self.set.nodes as usize - 1).min(NEWS_PEERS) {
             let to = Some((self.set.me + self.rng.u32(1..self.set.nodes)) % self.set.nodes);
             out.push(Action::Tell { to, bytes: bytes.clone() });
         }
     }
 
     /// The ready server with the least q^x that the request may go to.
-    fn pick(&self, now: Nanos, held: &Held, patient: bool) -> Option<ServerId> {
-        let class = &self.set.classes[held.class]; // its placement narrows the fleet before any ranking
-        let ready =
-            || self.order.iter().map(|id| &self.servers[id]).filter(|s| class.placement.allows(&s.entry));
-        let suspect = |s: &Server| s.back_at > now || s.strikes >= STRIKES && s.out > 0;
-        // A trouble that over half share must not leave a few to carry everything: all stay in.
-        let heed = ready().filter(|s| suspect(s)).count() * 2 <= ready().count();
-        // The rotation is as large as the node's own work needs: on few servers it knows most of
-        // what they hold, on many it would meet what other nodes send there unseen.
+    fn pick(&mut self, now: Nanos, id: RequestId, patient: bool) -> Option<ServerId> {
+        let held = &self.requests[&id];
+        // Its placement narrows the fleet before any ranking. The rotation is as large as the node's own work
+        // needs: on few servers it knows most of what they hold, on many it would meet what others send.
+        let class = &self.set.classes[held.class];
         let pool = &self.pools[self.pool[held.class]];
         let needed = pool.answered.get(now, STRAIN_WINDOW) / STRAIN_WINDOW;
         let fair = self.fair_part();
         let own = (needed * ROTATION_SPARE).max(fair).max(ROTATION_LEAST / fair.max(1.0)).ceil() as usize;
-        let warm = held.key.filter(|_| self.set.warm_keys).and_then(|key| self.warm_for(key, class));
-        let mut rotation = if warm.is_some() { self.order.len() } else { own };
-        let (limit, near) = (self.depth_limit(), 1.0 + NEAR * self.set.cross_zone_price);
-        let overflow = self.excess(held.class, 0.0) < STRAIN_FROM && (!patient || pool.waiting >= rotation);
-        let cold_rate = self.cold_rate(now);
-        let mut best: Option<(f64, u64, ServerId)> = None;
-        for server in ready() {
-            let warmth = self.warmth(now, &server.entry);
-            let spent = warmth < 1.0 && self.allowance(now, server, warmth, cold_rate) < 1.0;
-            let out = heed && suspect(server) || server.pace[held.class].busy_until > now || spent;
-            if out || !self.in_group(now, held, server) {
-                continue;
-            }
-            if rotation == 0 && (best.is_some() || !overflow) {
-                break;
-            }
-            rotation = rotation.saturating_sub(1);
-            let mut age = (self.sends - server.last) as f64;
-            age *= if server.entry.zone == self.set.zone { near } else { 1.0 };
-            age *= if warm == Some(server.entry.id) { WARM_KEY } else { 1.0 };
-            age *= if held.attempts.iter().any(|a| a.server == server.entry.id) { TRIED } else { 1.0 };
-            // What is known beats what is likely: with attempts out the age cheapens less.
-            let cost = age * server.pace[held.class].ln_q * warmth / f64::from(1 + server.out).powi(2);
-            if server.out < limit && best.is_none_or(|(c, t, _)| (cost, server.tie) < (c, t)) {
-                best = Some((cost, server.tie, server.entry.id));
+        let start = (self.ring.len() as u64 * u64::from(self.set.me % self.set.nodes)
+            / u64::from(self.set.nodes)) as usize;
+        let beyond = !patient && self.excess(held.class, 0.0) < STRAIN_FROM;
+        let (n, at) = (held.class, self.sends);
+        let worth = |ring: &Ring, id: &ServerId| {
+            let slot = self.servers.get(id)?.slot?;
+            ring.value(slot, n, at)
+        };
+        let tried = |id: u32| held.attempts.iter().any(|a| a.server == ServerId(id));
+        let servers = &self.servers;
+        let part = Part { start, own, beyond };
+        let mut ring = std::mem::take(&mut self.ring);
+        let found = if held.attempts.iter().all(|a| !a.ran) || class.effect == Effect::Safe {
+            let warm = held.key.filter(|_| self.set.warm_keys).and_then(|key| self.warm_for(key, class));
+            let part = if warm.is_some() { Part { own: usize::MAX, ..part } } else { part };
+            let best = ring.best(n, at, part, &|id| !tried(id)).map(|slot| ServerId(ring.id(slot)));
+            let warm = warm.filter(|warm| !tried(warm.0)).and_then(|warm| Some((warm, worth(&ring, &warm)?)));
+            let rest = best.and_then(|best| worth(&ring, &best)).unwrap_or(0);
+            let warm = warm.filter(|(_, worth)| worth.saturating_mul(WARM_KEY) >= rest);
+            warm.map(|(warm, _)| warm).or(best)
+        } else {
+            // It may have run: only where a repeat is known, however far that is.
+            let known = |server: &Server| self.in_group(now, held, server);
+            let fit = |id: &ServerId| !tried(id.0) && servers.get(id).is_some_and(known);
+            match (class.effect, held.attempts.iter().find(|a| a.ran)) {
+                (Effect::Keyed { group: Group::Cell, .. }, Some(ran)) => {
+                    let cell = (ran.cell, ServerId(0))..=(ran.cell, ServerId(u32::MAX));
+                    let fit = self.cells.range(cell).map(|(_, id)| *id).filter(fit);
+                    fit.filter_map(|id| Some((worth(&ring, &id)?, id))).max().map(|(_, id)| id)
+                }
+                (Effect::Unsafe, _) => None,
+                _ => {
+                    let part = Part { start, own: usize::MAX, beyond: false };
+                    ring.best(n, at, part, &|id| fit(&ServerId(id))).map(|slot| ServerId(ring.id(slot)))
+                }
             }
-        }
-        best.map(|(_, _, id)| id)
+        };
+        // Where it failed before only if nothing else is left.
+        let again = || {
+            let fit = |id: &ServerId| servers.get(id).is_some_and(|s| self.in_group(now, held, s));
+            let tried = held.attempts.iter().map(|a| a.server).filter(fit);
+            tried.filter_map(|id| Some((worth(&ring, &id)?, id))).max().map(|(_, id)| id)
+        };
+        let found = found.or_else(again);
+        self.ring = ring;
+        found
     }
 
     /// Own attempts that a server takes side by side: as long as one more is not much slower.
@@ -381,12 +646,14 @@
         self.depths[1..].iter().position(bad).map_or(u32::MAX, |d| d as u32 + 1)
     }
 
-    /// The server of the own zone where all nodes of the zone keep a key warm: highest random weight.
+    /// The server of the own zone where all nodes of the zone keep a key warm: highest random weight among
+    /// those that follow the key on the ring.
     fn warm_for(&self, key: u64, class: &Class) -> Option<ServerId> {
-        let home = |e: &&ServerEntry| e.zone == self.set.zone && class.placement.allows(e);
-        let near = self.order.iter().map(|id| &self.servers[id].entry).filter(home);
+        let place = ring::key(fastrand::Rng::with_seed(key).u64(..), 0);
+        let round = self.homes.range(place..).chain(self.homes.range(..place));
+        let near = round.map(|(_, id)| &self.servers[id].entry).filter(|e| class.placement.allows(e));
         let draw = |e: &ServerEntry| fastrand::Rng::with_seed(key ^ e.tag).f64().powf(1.0 / e.weight);
-        near.max_by(|a, b| draw(a).total_cmp(&draw(b))).map(|e| e.id)
+        near.take(WARM_AMONG).max_by(|a, b| draw(a).total_cmp(&draw(b))).map(|e| e.id)
     }
 
     /// A keyed request that may have run goes out again only within its group and window.
@@ -419,7 +686,14 @@
         let admitted = deadline > now && !worthless && self.admits(now, &request);
         self.requests.insert(request.id, held);
         match admitted {
-            true => self.waiting.push(request.id),
+            true => {
+                // Held no longer than leaves time to be answered.
+                let need = (self.usual[request.class].mean as Nanos).saturating_add(2 * TICK);
+                let until = aim_at.min(deadline).saturating_sub(need);
+                self.waiting.insert((request.class, until, request.id));
+                self.pools[self.pool[request.class]].waiting += 1;
+                self.requests.entry(request.id).and_modify(|held| held.waits = Some(until));
+            }
             false => self.finish(request.id, out),
         }
         self.dispatch(now, out);
@@ -453,28 +727,42 @@
 
     /// Sends what waits, the worthiest first, as far as servers are free; ends what waited too long.
     fn dispatch(&mut self, now: Nanos, out: &mut Vec<Action>) {
-        let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.retain(|id| self.requests.get(id).is_some_and(|h| !h.over));
-        let value = |id: &RequestId| self.worth_for_work(self.requests[id].class);
-        waiting.sort_by(|a, b| value(b).total_cmp(&value(a)));
-        self.pools.iter_mut().for_each(|p| p.waiting = 0);
+        if self.waiting.is_empty() {
+            return;
+        }
+        let mut classes: Vec<usize> = (0..self.set.classes.len()).collect();
+        classes.sort_by(|&a, &b| self.worth_for_work(b).total_cmp(&self.worth_for_work(a)));
         let mut free = vec![true; self.pools.len()];
-        for id in waiting {
-            // Held no longer than leaves time to be answered; then sent wherever it may go.
-            let held = &self.requests[&id];
-            let need = (self.usual[held.class].mean as Nanos).saturating_add(2 * TICK);
-            let patient = held.aim_at.min(held.deadline).saturating_sub(need) > now;
-            let pool = self.pool[held.class];
-            free[pool] = (free[pool] || !patient) && self.send(now, id, patient, out);
-            if !free[pool] && patient {
-                self.waiting.push(id);
-                self.pools[pool].waiting += 1;
-            } else if !free[pool] {
-                self.finish(id, out);
+        for class in classes {
+            let pool = self.pool[class];
+            let first = (class, 0, RequestId(0));
+            let last = (class, Nanos::MAX, RequestId(u64::MAX));
+            while let Some(&(_, until, id)) = self.waiting.range(first..=last).next() {
+                // One that may wait no longer is sent wherever it may go, or ended.
+                let patient = until > now;
+                if patient && !free[pool] {
+                    break;
+                }
+                let sent = self.send(now, id, patient, out);
+                free[pool] &= sent;
+                if sent || !patient {
+                    self.wait_no_more(id);
+                }
+                if !sent && !patient {
+                    self.finish(id, out);
+                }
             }
         }
     }
 
+    fn wait_no_more(&mut self, id: RequestId) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        if let Some(until) = held.waits.take() {
+            self.waiting.remove(&(held.class, until, id));
+            self.pools[self.pool[held.class]].waiting -= 1;
+        }
+    }
+
     fn worth_for_work(&self, class: usize) -> f64 {
         self.set.classes[class].worth / self.usual[class].mean
     }
@@ -491,7 +779,8 @@
         if further && self.further.since(from) as f64 + 1.0 > allowed {
             return false;
         }
-        let Some(server_id) = self.pick(now, held, patient) else { return false };
+        let Some(server_id) = self.pick(now, id, patient) else { return false };
+        let held = &self.requests[&id];
         let (timeout, chosen) = (self.timeout(now, held, server_id), &self.servers[&server_id]);
         let allowance = self.allowance(now, chosen, self.warmth(now, &chosen.entry), self.cold_rate(now));
         let server = self.servers.get_mut(&server_id).expect("it has just been picked");
@@ -500,6 +789,8 @@
         let depth = (server.out as usize).min(DEPTHS - 1);
         (server.out, self.sends) = (server.out + 1, self.sends + 1);
         let held = self.requests.get_mut(&id).expect("it has just been looked at");
+        server.sent.push_back((now, id, held.attempts.len() as u32));
+        self.occupied.insert(server_id);
         self.pools[self.pool[held.class]].open += 1;
         let (server, zone, cell) = (server_id, server.entry.zone, server.entry.cell);
         out.push(Action::Send { id, server, timeout });
@@ -518,6 +809,7 @@
         if further {
             self.further.add(now, b.span);
         }
+        self.draw(now, server_id);
         true
     }
 
@@ -560,8 +852,9 @@
         if let Some(server) = self.servers.get_mut(&at) {
             if status == Status::Ok {
                 (server.strikes, server.back_at) = (0, 0);
-            } else if server.entry.readiness == Readiness::Gone && server.out == 0 {
-                self.servers.remove(&at);
+            }
+            if server.entry.readiness == Readiness::Gone && server.out == 0 {
+                self.servers.remove(&at).map(|s| self.withdraw(s));
             }
         }
         let failed = !matches!(status, Status::Ok | Status::Cancelled | Status::Moot);
@@ -599,6 +892,7 @@
                 self.news.extend((tag & !255 | code & 255).to_le_bytes());
             }
         }
+        self.draw(now, at);
         if over {
             self.close(id);
         } else if self.requests[&id].attempts.iter().all(|a| !a.open) {
@@ -617,23 +911,44 @@
         self.pools[self.pool[class]].open -= 1;
         if let Some(server) = self.servers.get_mut(&at) {
             server.out = server.out.saturating_sub(1);
+            if server.out == 0 {
+                self.occupied.remove(&at);
+            }
         }
     }
 
     /// A server has answered what was sent later: what is overdue there does not wait in its queue. Counted
     /// as load, attempts that are never answered would pass for a crowd, and requests be refused for it.
     fn overtake(&mut self, now: Nanos, at: ServerId, later: Nanos) {
-        let usual: Vec<Nanos> =
-            self.usual.iter().map(|u| (u.mean + OVERDUE * u.deviation) as Nanos).collect();
+        let overdue = |u: &Usual| now.saturating_sub((u.mean + OVERDUE * u.deviation) as Nanos);
+        let overdue: Vec<Nanos> = self.usual.iter().map(overdue).collect();
+        let any = overdue.iter().copied().max().unwrap_or(0);
+        let late = later.min(any);
+        let Some(server) = self.servers.get_mut(&at) else { return };
         let mut lost = Vec::new();
-        for held in self.requests.values_mut() {
-            let since = later.min(now.saturating_sub(usual[held.class]));
-            let behind = |a: &&mut Attempt| a.open && !a.lost && a.server == at && a.sent < since;
-            for attempt in held.attempts.iter_mut().filter(behind) {
-                attempt.lost = true;
-                lost.push(held.class);
+        let (requests, out) = (&mut self.requests, server.out as usize);
+        let live = |held: &Held, n: u32| held.attempts.get(n as usize).is_some_and(|a| a.open && !a.lost);
+        let mut place = 0;
+        while let Some(&(sent, id, n)) = server.sent.get(place).filter(|(sent, ..)| *sent < late) {
+            let held = requests.get_mut(&id).filter(|held| live(held, n));
+            match held {
+                Some(held) if sent >= later.min(overdue[held.class]) => place += 1, // it may take longer
+                held => {
+                    if let Some(held) = held {
+                        held.attempts[n as usize].lost = true;
+                        lost.push(held.class);
+                    }
+                    if place == 0 {
+                        server.sent.pop_front();
+                    } else {
+                        place += 1;
+                    }
+                }
             }
         }
+        if server.sent.len() > 2 * out + 8 {
+            server.sent.retain(|(_, id, n)| requests.get(id).is_some_and(|held| live(held, *n)));
+        }
         lost.into_iter().for_each(|class| self.lighten(class, at));
     }
 
@@ -691,6 +1006,7 @@
     }
 
     fn close(&mut self, id: RequestId) {
+        self.wait_no_more(id);
         let Some(held) = self.requests.get_mut(&id) else { return };
         held.over = true;
         if held.attempts.iter().all(|a| !a.open) {
@@ -700,7 +1016,16 @@
 
     fn tick(&mut self, now: Nanos, out: &mut Vec<Action>) {
         out.push(Action::Timer { after: TICK, token: 0 });
-        self.reckon(now);
+        let limit = self.depth_limit();
+        let least = limit.min(self.limit);
+        if std::mem::replace(&mut self.limit, limit) != limit {
+            let fuller =
+                self.occupied.iter().filter(|id| self.servers.get(id).is_some_and(|s| s.out >= least));
+            for id in fuller.copied().collect::<Vec<_>>() {
+                self.draw(now, id);
+            }
+        }
+        self.sweep(now);
         self.dispatch(now, out);
         self.tell(out);
         for pool in self.pools.iter_mut().filter(|p| (now - p.sensed) as f64 > STRAIN_WINDOW) {
--- a/crates/decide/tests/failures.rs
+++ b/crates/decide/tests/failures.rs
@@ -596,3 +596,18 @@
     assert!(away < 100, "{away} of 400 went where they were turned away");
     assert!(kept > 140, "{kept} of 400 of the other class went there, where even turns are 213");
 }
+
+#[test]
+fn servers_that_are_gone_are_forgotten_when_nothing_of_theirs_is_open() {
+    let mut node = Node::new(settings(vec![class(Effect::Safe)]), 8, 5);
+    let (id, actions) = node.ask(0, S);
+    let held = sent(&actions).expect("it is sent");
+    // A hundred fleets come and go while one server still owes an answer.
+    for fleet in 1..100 {
+        let entries = (0..8).map(|n| entry(8 * fleet + n)).collect();
+        node.list(ListKind::Complete, entries);
+        assert_eq!(node.balancer.known_servers(), 9, "eight that are listed and one that owes an answer");
+    }
+    node.end(id, 0, held, Status::Ok, 5 * MS);
+    assert_eq!(node.balancer.known_servers(), 8);
+}
