Say when to come back: after what is held is done and the strain has faded

Refusals named the longest wait that clients heed, whatever the load. They now name the time after which a request like it would be taken if nothing else changes: what is held by Little's law, or the fading of the strain, drawn apart by half.

--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -702,7 +702,7 @@
                 self.pools[self.pool[request.class]].waiting += 1;
                 self.requests.entry(request.id).and_modify(|held| held.waits = Some(until));
             }
-            false => self.finish(request.id, out),
+            false => self.finish(now, request.id, out),
         }
         self.dispatch(now, out);
     }
@@ -767,7 +767,7 @@
                     self.wait_no_more(id);
                 }
                 if !sent && !patient {
-                    self.finish(id, out);
+                    self.finish(now, id, out);
                 }
             }
         }
@@ -921,7 +921,7 @@
             if now < aim_at && (free || self.retries >= 1.0) && self.send(now, id, false, out) {
                 self.retries -= if free { 0.0 } else { 1.0 };
             } else {
-                self.finish(id, out);
+                self.finish(now, id, out);
             }
         }
         self.dispatch(now, out);
@@ -1023,16 +1023,33 @@
     }
 
     /// The final answer: refused where that promise may be made, else failed.
-    fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    fn finish(&mut self, now: Nanos, id: RequestId, out: &mut Vec<Action>) {
         let held = &self.requests[&id];
         let effect = self.set.classes[held.class].effect;
         let refusable = held.attempts.iter().all(|a| !a.ran)
             || matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
-        let retry_after = if self.set.retry_after { self.set.max_retry_after } else { 0 };
+        let retry_after = if self.set.retry_after && refusable { self.come_back(now, id) } else { 0 };
         out.push(if refusable { Action::Refuse { id, retry_after } } else { Action::Fail { id } });
         self.close(id);
     }
 
+    /// After how long a request like this would be taken, if nothing else changes: no sooner, or it comes
+    /// in vain, and no later, or servers wait for it. Drawn apart: those refused together come one by one.
+    fn come_back(&mut self, now: Nanos, id: RequestId) -> Nanos {
+        let class = self.requests[&id].class;
+        let pool = &self.pools[self.pool[class]];
+        // By Little's law what is held is done after so many times the latency.
+        let needed = (pool.answered.get(now, STRAIN_WINDOW) / STRAIN_WINDOW).max(self.fair_part()).max(1.0);
+        let held = f64::from(pool.open) + pool.waiting as f64;
+        let cleared = self.usual[class].mean * (held / needed).max(1.0);
+        // Strain fades by itself where no news keeps it up.
+        let calm = 1.0 + STRAIN_FROM * self.spread();
+        let faded = RATE_WINDOW * (pool.strain / calm).max(1.0).ln();
+        let longest = self.set.max_retry_after;
+        let wait = (cleared.max(faded) * (1.0 + self.rng.f64() / 2.0)) as Nanos;
+        wait.clamp(longest.min(COLD_STEP), longest)
+    }
+
     fn close(&mut self, id: RequestId) {
         self.wait_no_more(id);
         let Some(held) = self.requests.get_mut(&id) else { return };
--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -21,6 +21,7 @@
     clients: u64,    // that ask again ...
     answered: Nanos, // so long after an answer
     refused: Nanos,  // and so long after a refusal
+    heed: bool,      // or as long after one as it says
     aim: Nanos,
     /// From when to when services take so many times as long.
     trouble: (Nanos, Nanos, u64),
@@ -37,6 +38,7 @@
             clients: 64,
             answered: 20 * US,
             refused: 100 * US,
+            heed: false,
             aim: 300 * MS,
             trouble: (0, 0, 1),
             length: 4 * S,
@@ -114,10 +116,10 @@
                     queues[server.0 as usize].push_back((id.0, attempt));
                     (at, Happens::Timeout { id: id.0, attempt, server: server.0 })
                 }
-                Action::Refuse { id, .. } | Action::Fail { id } => {
+                Action::Refuse { id, retry_after } => {
                     open.remove(&id.0);
                     seconds[((now - start) / S) as usize].refused += 1;
-                    (now + world.refused, Happens::Ask)
+                    (now + if world.heed { retry_after } else { world.refused }, Happens::Ask)
                 }
                 Action::Timer { after, token } => (now + after, Happens::Timer(token)),
                 _ => continue,
@@ -218,6 +220,55 @@
     }
 }
 
+#[test]
+fn those_who_come_back_when_they_are_told_are_served_as_much_with_few_refusals() {
+    // Twice, four and eight times as many clients as 16 servers of one slot serve within the aim.
+    for clients in [128, 256, 512] {
+        let world =
+            World { slots: 1, service: 40 * MS, clients, length: 8 * S, refused: MS, ..World::default() };
+        let sums = |world: &World| {
+            let seconds = play(world);
+            let sum = |of: fn(&Second) -> u64| seconds[3..].iter().map(of).sum::<u64>();
+            (sum(|s| s.served), sum(|s| s.refused))
+        };
+        let (at_once, told) = (sums(&world), sums(&World { heed: true, ..world.clone() }));
+        println!("{clients} clients, served and refused: {at_once:?} at once, {told:?} as told");
+        assert!(told.0 * 100 >= at_once.0 * 95, "{clients}: {told:?} where {at_once:?}");
+        assert!(told.1 * 20 <= at_once.1, "{clients}: {told:?} where {at_once:?}");
+    }
+}
+
+#[test]
+fn a_refusal_for_failed_attempts_alone_says_to_come_back_soon() {
+    // Servers are idle, and both it tried broke off: nothing has to clear but this.
+    let mut node = Node::new(settings(vec![class(Effect::Safe)]), 8, 3);
+    for _ in 0..200 {
+        node.pass(20 * MS);
+        node.serve(0, |_| 10 * MS);
+    }
+    let (id, mut actions) = node.ask(0, S);
+    let mut attempt = 0;
+    let told = loop {
+        if let Some(Action::Refuse { retry_after, .. }) =
+            actions.iter().find(|a| matches!(a, Action::Refuse { .. }))
+        {
+            break *retry_after;
+        }
+        let server = sent(&actions).expect("sent or refused");
+        actions = node.give(Event::Outcome {
+            id,
+            attempt,
+            server,
+            status: Status::Reset,
+            latency: MS,
+            terminal: false,
+            report: None,
+        });
+        attempt += 1;
+    };
+    assert!((10 * MS..100 * MS).contains(&told), "{told} ns of at most a second");
+}
+
 #[test]
 fn a_short_aim_leaves_time_to_wait_for_a_server() {
     // A margin of two ticks, 100 ms, was more than such an aim: what found no server free was refused untried.
