--- a/crates/decide/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -420,7 +420,8 @@
                     owed.sends.push((server, now, None));
                     assert!(owed.sends.len() <= 4);
                 }
-                Action::Refuse { id, .. } => {
+                Action::Refuse { id, retry_after } => {
+                    assert!((1..=S).contains(&retry_after), "advice that clients do not heed: {retry_after}");
                     let owed = self.owed.get_mut(&id).expect("a request that was given");
                     owed.answers += 1;
                     let clean = owed.sends.iter().all(|(.., s)| s.is_some_and(Status::never_ran));
@@ -477,15 +478,8 @@
     }
 }
 
-proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 256, failure_persistence: None,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(20),
-        ..ProptestConfig::default()
-    })]
-
-    #[test]
-    fn the_rules_hold_over_any_sequence_of_events(steps in prop::collection::vec(step(), 1..300)) {
+impl Watcher {
+    fn new() -> Self {
         let classes = vec![
             class(Effect::Safe),
             class(Effect::Unsafe),
@@ -497,51 +491,96 @@
         ];
         let set = Settings { attempt_budget: Some(BUDGET), ..settings(classes.clone()) };
         let node = Node::new(set, 6, 17);
-        let mut watcher =
-            Watcher { node, classes, asked: vec![], further: vec![], ready: (0..6).collect(), owed: Default::default() };
-        for step in steps {
-            match step {
-                Step::Ask(class, budget) => {
-                    let id = watcher.node.next_id();
-                    let deadline = watcher.node.at + budget;
-                    watcher.asked.push(watcher.node.at);
-                    watcher.owed.insert(id, Owed { class, deadline, answers: 0, sends: vec![] });
-                    let (_, actions) = watcher.node.ask(class, budget);
-                    watcher.take(actions);
-                }
-                Step::End(n, status) => {
-                    let open = watcher.open();
-                    if let Some(&(id, attempt)) = open.get(n % open.len().max(1)) {
-                        watcher.end(id, attempt, status);
-                    }
-                }
-                Step::Leave(n) => {
-                    let live: Vec<RequestId> =
-                        watcher.owed.iter().filter(|(_, o)| o.answers == 0).map(|(id, _)| *id).collect();
-                    if let Some(&id) = live.get(n % live.len().max(1)) {
-                        watcher.owed.get_mut(&id).expect("live").answers = 1;
-                        let actions = watcher.node.give(Event::Gone(id));
-                        watcher.take(actions);
-                    }
-                }
-                Step::Wait(time) => watcher.wait(time),
-                Step::Server(n, readiness, restarted) => {
-                    let since = if restarted { watcher.node.at } else { 0 };
-                    match readiness {
-                        Readiness::Ready => watcher.ready.insert(n),
-                        _ => watcher.ready.remove(&n),
-                    };
-                    let entries = vec![ServerEntry { readiness, since, ..entry(n) }];
-                    let actions = watcher.node.list(ListKind::Partial, entries);
-                    watcher.take(actions);
+        let (ready, owed) = ((0..6).collect(), Default::default());
+        Watcher { node, classes, asked: vec![], further: vec![], ready, owed }
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Ask(class, budget) => {
+                let id = self.node.next_id();
+                let deadline = self.node.at + budget;
+                self.asked.push(self.node.at);
+                self.owed.insert(id, Owed { class, deadline, answers: 0, sends: vec![] });
+                let (_, actions) = self.node.ask(class, budget);
+                self.take(actions);
+            }
+            Step::End(n, status) => {
+                let open = self.open();
+                if let Some(&(id, attempt)) = open.get(n % open.len().max(1)) {
+                    self.end(id, attempt, status);
                 }
-                Step::Failed => {
-                    let actions = watcher.node.list(ListKind::Failed, vec![]);
-                    watcher.take(actions);
+            }
+            Step::Leave(n) => {
+                let live: Vec<RequestId> =
+                    self.owed.iter().filter(|(_, o)| o.answers == 0).map(|(id, _)| *id).collect();
+                if let Some(&id) = live.get(n % live.len().max(1)) {
+                    self.owed.get_mut(&id).expect("live").answers = 1;
+                    let actions = self.node.give(Event::Gone(id));
+                    self.take(actions);
                 }
             }
+            Step::Wait(time) => self.wait(time),
+            Step::Server(n, readiness, restarted) => {
+                let since = if restarted { self.node.at } else { 0 };
+                match readiness {
+                    Readiness::Ready => self.ready.insert(n),
+                    _ => self.ready.remove(&n),
+                };
+                let entries = vec![ServerEntry { readiness, since, ..entry(n) }];
+                let actions = self.node.list(ListKind::Partial, entries);
+                self.take(actions);
+            }
+            Step::Failed => {
+                let actions = self.node.list(ListKind::Failed, vec![]);
+                self.take(actions);
+            }
+        }
+    }
+
+    /// Forgets what no rule looks at any more.
+    fn forget(&mut self) {
+        let from = self.node.at.saturating_sub(BUDGET.span);
+        self.asked.retain(|&at| at >= from);
+        self.further.retain(|&at| at >= from);
+        self.owed.retain(|_, o| o.answers == 0 || o.sends.last().is_some_and(|s| s.2.is_none()));
+    }
+
+    /// Lets all end; every request has its one answer then.
+    fn finish(mut self) {
+        self.wait(2 * S);
+        assert!(self.owed.values().all(|o| o.answers == 1));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256, failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn the_rules_hold_over_any_sequence_of_events(steps in prop::collection::vec(step(), 1..300)) {
+        let mut watcher = Watcher::new();
+        steps.into_iter().for_each(|step| watcher.step(step));
+        watcher.finish();
+    }
+}
+
+/// One node's long life: `cargo test --release -p merlinfold-decide --test rules million -- --ignored`.
+#[test]
+#[ignore = "a million events: only by hand"]
+fn the_rules_hold_over_a_million_events() {
+    use proptest::strategy::ValueTree;
+    use proptest::test_runner::TestRunner;
+    let (mut runner, mut watcher, step) = (TestRunner::deterministic(), Watcher::new(), step());
+    for n in 0..1_000_000 {
+        watcher.step(step.new_tree(&mut runner).expect("a step").current());
+        if n % 64 == 0 {
+            watcher.forget();
+            assert!(watcher.node.balancer.known_servers() <= 8, "servers that are gone are forgotten");
         }
-        watcher.wait(2 * S);
-        prop_assert!(watcher.owed.values().all(|o| o.answers == 1));
     }
+    watcher.finish();
 }
