--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -1,10 +1,11 @@
 //! A node on loopback sockets, with servers and a discovery that do as a test says.
+#![allow(dead_code)] // each test file uses its part
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{mpsc, Arc, Condvar, Mutex};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use merlinfold_node::{Config, Node};
 use serde_json::{json, Value};
@@ -176,6 +177,7 @@
 /// A node in a thread of its own.
 pub struct Running {
     pub address: SocketAddr,
+    console: Option<SocketAddr>,
     stop: Option<oneshot::Sender<()>>,
     thread: JoinHandle<()>,
 }
@@ -189,11 +191,40 @@
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
             runtime.block_on(async {
                 let node = Node::bind(config).await.unwrap();
-                tell.send(node.address().unwrap()).unwrap();
+                tell.send((node.address().unwrap(), node.console())).unwrap();
                 node.run(async { stopped.await.unwrap_or(()) }).await;
             });
         });
-        Running { address: address.recv_timeout(PATIENCE).unwrap(), stop: Some(stop), thread }
+        let (address, console) = address.recv_timeout(PATIENCE).unwrap();
+        Running { address, console, stop: Some(stop), thread }
+    }
+
+    /// A caller's connection to the console.
+    pub fn caller(&self) -> Client {
+        Client::connect(self.console.expect("it has a console"))
+    }
+
+    /// What the console answers to one call.
+    pub fn call(&self, method: &str, path: &str, body: &str) -> Message {
+        let mut caller = self.caller();
+        caller.write(&call(method, path, body));
+        caller.read().expect("an answer")
+    }
+
+    /// Waits until one of the node's figures has this value.
+    pub fn wait_for(&self, name: &str, value: u64) {
+        let begun = Instant::now();
+        while self.figure(name) != value {
+            assert!(begun.elapsed() < PATIENCE, "{name} never came to {value}");
+        }
+    }
+
+    /// One of the node's figures.
+    pub fn figure(&self, name: &str) -> u64 {
+        let figures = self.call("GET", "/status/metrics", "");
+        let text = String::from_utf8(figures.body).unwrap();
+        let value = |line: &str| line.strip_prefix(&format!("edge_balancer.{name}="))?.parse().ok();
+        text.lines().find_map(value).unwrap_or_else(|| panic!("no {name} in {text}"))
     }
 
     /// A node in front of these servers, all of which it knows from its start.
@@ -245,6 +276,10 @@
     }
 }
 
+pub fn call(method: &str, path: &str, body: &str) -> String {
+    format!("{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
 pub fn request(class: &str, headers: &str, body: &str) -> String {
     let length = body.len();
     format!(
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -331,6 +331,13 @@
         /// What it said.
         bytes: Vec<u8>,
     },
+    /// Operators take a server out by hand, or put it back. That holds whatever the list says of it.
+    Maintenance {
+        /// The server; it need not be in the list.
+        server: ServerId,
+        /// Whether it is out from now on.
+        out: bool,
+    },
     /// A timer set by the module has come due.
     Timer(u64),
 }
--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -189,7 +189,9 @@
     taken: Sliding, // Requests taken and attempts after the first of one, for a stated budget.
     further: Sliding,
     pools: Vec<Pool>,
-    pool: Vec<usize>, // The pool of each class.
+    pool: Vec<usize>,                    // The pool of each class.
+    out: BTreeSet<ServerId>,             // Taken out by hand.
+    returned: BTreeMap<ServerId, Nanos>, // When servers that were out came back: they were started meanwhile.
     started: bool,
     ask_at: Nanos, // When to ask for the server list next, and failures of that in a row.
     ask_failures: u32,
@@ -245,6 +247,7 @@
             Event::Outcome { .. } => self.outcome(now, event, out),
             Event::Timer(0) => self.tick(now, out),
             Event::Peer { bytes, .. } => self.hear(now, &bytes),
+            Event::Maintenance { server, out } => self.maintain(now, server, out),
             Event::Timer(_) | Event::Probed { .. } => {}
         }
     }
@@ -254,6 +257,37 @@
         self.servers.len()
     }
 
+    /// Whether the module would send there, if it fits: the list has it, and nobody took it out.
+    pub fn is_ready(&self, id: ServerId) -> bool {
+        self.servers.get(&id).is_some_and(|server| server.slot.is_some())
+    }
+
+    /// Servers of the list that get nothing now, taken out by hand or ejected for their failures.
+    pub fn avoided(&self, now: Nanos) -> usize {
+        let avoided = |s: &&Server| s.back_at > now || self.out.contains(&s.entry.id);
+        let listed = |s: &&Server| s.entry.readiness != Readiness::Gone;
+        self.servers.values().filter(listed).filter(avoided).count()
+    }
+
+    /// Out, a server gets what one that drains gets: nothing. Back, it enters like one that has just started,
+    /// for operators restart it meanwhile. A second order of the same kind changes nothing.
+    fn maintain(&mut self, now: Nanos, id: ServerId, out: bool) {
+        if out == self.out.contains(&id) {
+            return;
+        }
+        if out {
+            self.out.insert(id);
+            self.returned.remove(&id);
+        } else {
+            self.out.remove(&id);
+            self.returned.insert(id, now);
+        }
+        if let Some(server) = self.servers.get(&id) {
+            let entry = server.entry.clone();
+            self.enter(now, vec![entry], BTreeSet::from([id]));
+        }
+    }
+
     fn jitter(&mut self, most: Nanos) -> Nanos {
         most / 2 + self.rng.u64(0..=most / 2)
     }
@@ -278,9 +312,15 @@
         }
         let weight = |w: f64| if self.set.weighted { w.clamp(1e-3, WEIGHT_MOST) } else { 1.0 };
         entries.iter_mut().for_each(|e| e.weight = weight(e.weight));
+        self.enter(now, entries, changed);
+    }
+
+    /// Takes these entries in place of those of the same servers; `changed` has all that may now differ.
+    fn enter(&mut self, now: Nanos, entries: Vec<ServerEntry>, changed: BTreeSet<ServerId>) {
         let more = entries.iter().filter(|e| !self.servers.contains_key(&e.id));
         let turns = (self.weights + more.map(|e| e.weight).sum::<f64>()).max(self.servers.len() as f64 + 1.0);
-        for entry in entries {
+        for mut entry in entries {
+            entry.since = entry.since.max(self.returned.get(&entry.id).copied().unwrap_or(0));
             let known = self.servers.remove(&entry.id);
             let known = known.map(|s| self.withdraw(s));
             let same = |s: &Server| s.entry.since == entry.since && s.entry.readiness != Readiness::Gone;
@@ -313,11 +353,12 @@
             let mut server = self.withdraw(server);
             let entry = &server.entry;
             if entry.readiness == Readiness::Gone && server.out == 0 {
+                self.returned.remove(&id);
                 continue;
             }
             self.by_tag.insert(entry.tag as u32 >> 8, id);
             self.cells.insert((entry.cell, id));
-            if entry.readiness == Readiness::Ready {
+            if entry.readiness == Readiness::Ready && !self.out.contains(&id) {
                 // One ring for all nodes, each starting elsewhere: small rotations cover all servers alike.
                 let key = ring::key(entry.tag, id.0);
                 server.slot = Some(self.ring.insert(key));
@@ -690,7 +731,9 @@
         let held = Held { class: request.class, key: request.key, aim_at, deadline, ..Held::default() };
         let worthless = aim_at <= now && class.late_worth <= 0.0;
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_RESERVE);
-        let admitted = deadline > now && !worthless && self.admits(now, &request);
+        // Who took all servers out will not put one back within a client's time.
+        let all_out = self.tallies[request.class].allowed == 0 && !self.out.is_empty();
+        let admitted = deadline > now && !worthless && !all_out && self.admits(now, &request);
         self.requests.insert(request.id, held);
         match admitted {
             true => {
--- a/crates/decide/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -162,6 +162,47 @@
     }
 }
 
+#[test]
+fn out_by_hand_lasts_whatever_the_list_says_until_one_call_back_and_the_return_is_cold() {
+    let mut node = node(Effect::Safe, 2);
+    let out = |out| Event::Maintenance { server: ServerId(0), out };
+    let only_the_other = |node: &mut Node, when: &str| {
+        for _ in 0..50 {
+            node.at += 20 * MS;
+            assert_eq!(node.serve(0, |_| 10 * MS), Some(ServerId(1)), "{when}");
+        }
+    };
+    node.give(out(true));
+    node.give(out(true));
+    only_the_other(&mut node, "out");
+    assert_eq!(node.balancer.avoided(node.at), 1);
+    node.list(ListKind::Partial, vec![ServerEntry { readiness: Readiness::Gone, ..entry(0) }]);
+    only_the_other(&mut node, "gone as well");
+    node.list(ListKind::Partial, vec![ServerEntry { since: node.at, ..entry(0) }]);
+    only_the_other(&mut node, "started anew");
+    node.list(ListKind::Complete, vec![entry(0), entry(1)]);
+    only_the_other(&mut node, "in a whole list");
+    node.give(out(false));
+    assert!(node.balancer.is_ready(ServerId(0)) && node.balancer.avoided(node.at) == 0);
+    node.list(ListKind::Complete, vec![entry(0), entry(1)]); // which has it as started long ago
+    let mut back = 0;
+    for _ in 0..50 {
+        node.at += 2 * MS;
+        back += usize::from(node.serve(0, |_| 10 * MS) == Some(ServerId(0)));
+    }
+    assert!((1..15).contains(&back), "{back} of the first 50 went to a server that is cold");
+    assert!(!refused(&node.ask(0, S).1));
+}
+
+#[test]
+fn with_all_servers_out_requests_are_refused_at_once_and_served_again_after_one_is_back() {
+    let mut node = node(Effect::Safe, 2);
+    (0..2).for_each(|n| drop(node.give(Event::Maintenance { server: ServerId(n), out: true })));
+    assert!(refused(&node.ask(0, S).1));
+    node.give(Event::Maintenance { server: ServerId(1), out: false });
+    assert!(!refused(&node.ask(0, S).1));
+}
+
 #[test]
 fn asking_for_the_list_goes_on_after_failures_and_stops_when_subscribed() {
     let set = Settings { discovery: Discovery::Ask, ..settings(vec![class(Effect::Safe)]) };
@@ -343,6 +384,7 @@
     Leave(usize),
     Wait(Nanos),
     Server(u32, Readiness, bool),
+    Maintain(u32, bool),
     Failed,
 }
 
@@ -365,6 +407,7 @@
         1 => (0usize..64).prop_map(Step::Leave),
         2 => (0u64..120).prop_map(|ms| Step::Wait(ms * MS)),
         1 => (0u32..8, readiness, any::<bool>()).prop_map(|(n, r, b)| Step::Server(n, r, b)),
+        1 => (0u32..8, any::<bool>()).prop_map(|(n, out)| Step::Maintain(n, out)),
         1 => Just(Step::Failed),
     ]
 }
@@ -384,7 +427,8 @@
     classes: Vec<Class>,
     asked: Vec<Nanos>,
     further: Vec<Nanos>,
-    ready: std::collections::BTreeSet<u32>,
+    ready: std::collections::BTreeSet<u32>, // by the list
+    out: std::collections::BTreeSet<u32>,   // by hand
     owed: std::collections::BTreeMap<RequestId, Owed>,
 }
 
@@ -397,6 +441,7 @@
                     let owed = self.owed.get_mut(&id).expect("a request that was given");
                     assert_eq!(owed.answers, 0, "sent after its end");
                     assert!(self.ready.contains(&server), "sent to a server that takes nothing");
+                    assert!(!self.out.contains(&server), "sent to a server that was taken out");
                     assert!(owed.sends.iter().all(|(.., s)| s.is_some()), "two attempts at once");
                     let (class, at) = (&self.classes[owed.class], entry(server));
                     assert!(class.placement.allows(&at), "outside of its placement");
@@ -492,7 +537,7 @@
         let set = Settings { attempt_budget: Some(BUDGET), ..settings(classes.clone()) };
         let node = Node::new(set, 6, 17);
         let (ready, owed) = ((0..6).collect(), Default::default());
-        Watcher { node, classes, asked: vec![], further: vec![], ready, owed }
+        Watcher { node, classes, asked: vec![], further: vec![], ready, out: Default::default(), owed }
     }
 
     fn step(&mut self, step: Step) {
@@ -531,6 +576,16 @@
                 let actions = self.node.list(ListKind::Partial, entries);
                 self.take(actions);
             }
+            Step::Maintain(n, out) => {
+                match out {
+                    true => self.out.insert(n),
+                    false => self.out.remove(&n),
+                };
+                let actions = self.node.give(Event::Maintenance { server: ServerId(n), out });
+                self.take(actions);
+                let ready = |n: &u32| self.ready.contains(n) && !self.out.contains(n);
+                assert!((0..8).all(|n| self.node.balancer.is_ready(ServerId(n)) == ready(&n)));
+            }
             Step::Failed => {
                 let actions = self.node.list(ListKind::Failed, vec![]);
                 self.take(actions);
--- /dev/null
+++ b/crates/node/src/console.rs
@@ -0,0 +1,182 @@
+//! The operators' listener: one call a connection, handed to the driver and answered from its state.
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Deserialize;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc::UnboundedSender, oneshot};
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, timeout, Instant};
+use tracing::{info, warn};
+
+use crate::input::{Call, Input, Said};
+use crate::lifecycle::Order;
+
+/// Callers at once. Beyond that a new one ends the one that came first, so those who sit there keep nobody out.
+pub const CALLERS_MOST: usize = 16;
+const CALL_TIMEOUT: Duration = Duration::from_secs(3); // for a whole call: callers wait 1 s
+const BODY_MOST: usize = 4 << 10; // bytes: a member's name fits many times over
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10); // after a failed accept, so as not to spin
+const FAULTS_EVERY: Duration = Duration::from_secs(1); // between log lines on calls that were no good
+
+/// Takes calls for as long as the node runs.
+pub async fn serve(listener: TcpListener, inputs: UnboundedSender<Input>) {
+    let mut callers: VecDeque<AbortHandle> = VecDeque::new();
+    let mut faults = Faults::default();
+    let (tell, mut told) = tokio::sync::mpsc::channel(CALLERS_MOST);
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    callers.retain(|caller| !caller.is_finished());
+                    if callers.len() >= CALLERS_MOST {
+                        callers.pop_front().into_iter().for_each(|oldest| oldest.abort());
+                    }
+                    callers.push_back(tokio::spawn(caller(stream, inputs.clone(), tell.clone())).abort_handle());
+                }
+                Err(error) => {
+                    warn!(%error, "console: accept");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            Some(fault) = told.recv() => faults.log(fault),
+        }
+    }
+}
+
+/// Names what was wrong with calls, at most once in a while: anyone who reaches the address drives them.
+#[derive(Default)]
+struct Faults {
+    logged: Option<Instant>,
+    unlogged: u64,
+}
+
+impl Faults {
+    fn log(&mut self, fault: String) {
+        if self.logged.is_some_and(|at| at.elapsed() < FAULTS_EVERY) {
+            self.unlogged += 1;
+            return;
+        }
+        warn!(fault, not_logged_before = std::mem::take(&mut self.unlogged), "console: call not carried out");
+        self.logged = Some(Instant::now());
+    }
+}
+
+async fn caller(
+    stream: TcpStream, inputs: UnboundedSender<Input>, faults: tokio::sync::mpsc::Sender<String>,
+) {
+    let service = service_fn(|request| {
+        let (inputs, faults) = (inputs.clone(), faults.clone());
+        async move {
+            let answer = answer(request, &inputs).await.unwrap_or_else(|refusal| {
+                let _ = faults.try_send(refusal.fault.clone()); // a full channel says enough by what is in it
+                refusal.response()
+            });
+            Ok::<_, Infallible>(answer)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .keep_alive(false)
+        .header_read_timeout(CALL_TIMEOUT)
+        .max_buf_size(8 << 10)
+        .serve_connection(TokioIo::new(stream), service);
+    // Who calls and how it ends for them is their business; the limit covers a caller who never reads.
+    let _ = timeout(CALL_TIMEOUT * 2, connection).await;
+}
+
+/// A no, and why.
+struct Refusal {
+    status: StatusCode,
+    fault: String,
+    allow: Option<&'static str>,
+}
+
+impl Refusal {
+    fn new(status: StatusCode, fault: impl Into<String>) -> Self {
+        Refusal { status, fault: fault.into(), allow: None }
+    }
+
+    fn response(self) -> Response<Full<Bytes>> {
+        let mut response = text(self.status, format!("{}\n", self.fault));
+        if let Some(allow) = self.allow {
+            response.headers_mut().insert(ALLOW, HeaderValue::from_static(allow));
+        }
+        response
+    }
+}
+
+fn text(status: StatusCode, text: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::from(text));
+    *response.status_mut() = status;
+    let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(CONTENT_TYPE, plain);
+    response
+}
+
+#[derive(Deserialize)]
+struct Member {
+    member: String,
+}
+
+async fn answer(
+    request: Request<Incoming>, inputs: &UnboundedSender<Input>,
+) -> Result<Response<Full<Bytes>>, Refusal> {
+    let (head, body) = request.into_parts();
+    let path = head.uri.path();
+    let allowed = match path {
+        "/status" | "/status/metrics" => "GET, HEAD",
+        "/maintenance/enter" | "/maintenance/exit" | "/standby" | "/active" => "POST",
+        _ => return Err(Refusal::new(StatusCode::NOT_FOUND, format!("no such call: {path:.100}"))),
+    };
+    if !allowed.split(", ").any(|method| method == head.method.as_str()) {
+        let fault = format!("{path} takes {allowed}, not {:.20}", head.method.as_str());
+        let refusal = Refusal::new(StatusCode::METHOD_NOT_ALLOWED, fault);
+        return Err(Refusal { allow: Some(allowed), ..refusal });
+    }
+    let call = match path {
+        "/status" => Call::Status,
+        "/status/metrics" => Call::Figures,
+        "/standby" => Call::Order(Order::Standby),
+        "/active" => Call::Order(Order::Active),
+        _ => Call::Maintenance { member: member(path, body).await?, out: path.ends_with("/enter") },
+    };
+    if head.method == Method::POST {
+        info!(?call, "console");
+    }
+    let (said, answer) = oneshot::channel();
+    let gone = || Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "the node ends");
+    inputs.send(Input::Call { call, said }).map_err(|_| gone())?;
+    match answer.await.map_err(|_| gone())? {
+        Said::Yes(words) => Ok(text(StatusCode::OK, words)),
+        Said::NotNow(why) => Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, why)),
+        Said::Conflict(why) => Err(Refusal::new(StatusCode::CONFLICT, why)),
+        Said::Unknown(why) => Err(Refusal::new(StatusCode::NOT_FOUND, why)),
+    }
+}
+
+/// The member that a call's body names.
+async fn member(path: &str, body: Incoming) -> Result<String, Refusal> {
+    let fault = |status, what: String| Refusal::new(status, format!("{path}: {what}"));
+    let body = match timeout(CALL_TIMEOUT, Limited::new(body, BODY_MOST).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            return Err(fault(StatusCode::PAYLOAD_TOO_LARGE, format!("body over {BODY_MOST} bytes")));
+        }
+        Ok(Err(error)) => return Err(fault(StatusCode::BAD_REQUEST, format!("body: {error}"))),
+        Err(_) => return Err(fault(StatusCode::REQUEST_TIMEOUT, "body not whole in time".to_owned())),
+    };
+    let member: Member = serde_json::from_slice(&body)
+        .map_err(|error| fault(StatusCode::BAD_REQUEST, format!("body: {error}")))?;
+    Ok(member.member)
+}
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -5,13 +5,15 @@
 use std::sync::Arc;
 
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::{oneshot, watch, Notify};
 use tokio::task::AbortHandle;
 use tokio::time::timeout_at;
 use tracing::{debug, info, warn};
 
 use crate::clock::Clock;
-use crate::input::{Arrival, Input, Reply};
+use crate::figures::{End, Figures, Totals};
+use crate::input::{Arrival, Call, Input, Reply, Said};
+use crate::lifecycle::{Life, Order, Posture};
 use crate::list::{Endpoint, List};
 use crate::peers::Peers;
 use crate::upstream::{Attempt, Ended, Outgoing, Pool, Server};
@@ -27,6 +29,7 @@
 
 /// A request in the table: until it is answered and its last attempt has ended.
 struct Open {
+    class: usize,
     client: Option<oneshot::Sender<Reply>>, // none once the final answer is given or nobody waits for it
     outgoing: Arc<Outgoing>,
     deadline: Nanos,
@@ -40,11 +43,21 @@
 }
 
 impl Open {
-    /// The only place where a request is answered; only the first answer counts.
-    fn answer(&mut self, reply: Reply) {
-        if let Some(client) = self.client.take() {
-            let _ = client.send(reply); // a client that left just now is reported by the front
+    /// The only place where a request ends: it is answered, or without a reply its client has left. Only the
+    /// first end counts, in the figures too; true if this was it.
+    fn end(&mut self, reply: Option<Reply>, figures: &mut Figures) -> bool {
+        let Some(client) = self.client.take() else { return false };
+        let end = match &reply {
+            Some(Reply::Served(_)) => End::Completed,
+            Some(Reply::Refused { .. }) => End::Rejected,
+            Some(Reply::Failed) => End::Failed,
+            None => End::Left,
+        };
+        figures.ended(self.class, end);
+        if let Some(reply) = reply {
+            let _ = client.send(reply); // a client that left just now counts as answered
         }
+        true
     }
 
     fn is_over(&self) -> bool {
@@ -52,15 +65,11 @@
     }
 }
 
-/// What became of requests and attempts since the last log line.
+/// What became of attempts since the last log line, and the counts of requests as of then.
 #[derive(Default)]
 struct Tally {
-    requests: u64,
+    requests: Totals,
     sent: u64,
-    served: u64,
-    refused: u64,
-    failed: u64,
-    left: u64,                   // clients that did not wait for their answer
     endings: [u64; 8],           // of attempts, by status
     slowest: Nanos,              // answer of a server
     bad: HashMap<ServerId, u64>, // attempts that failed, by server
@@ -77,9 +86,12 @@
     }
 
     /// Writes a line if anything went other than well, and starts anew.
-    fn report(&mut self, names: &Names, ready: usize) {
-        let Tally { requests, sent, served, refused, failed, left, endings, slowest, bad } =
-            std::mem::take(self);
+    fn report(&mut self, names: &Names, ready: usize, totals: Totals) {
+        let anew = Tally { requests: totals, ..Tally::default() };
+        let Tally { requests, sent, endings, slowest, bad } = std::mem::replace(self, anew);
+        let since = totals.since(&requests);
+        let (requests, served, refused) = (since.taken, since.of(End::Completed), since.of(End::Rejected));
+        let (failed, left) = (since.of(End::Failed), since.of(End::Left));
         if refused + failed + left + bad.len() as u64 == 0 {
             return;
         }
@@ -111,6 +123,7 @@
     Deadline(RequestId),
     Retire,
     Report,
+    Life,
 }
 
 /// Owns the module and all that belongs to it.
@@ -128,7 +141,12 @@
     due: BinaryHeap<Reverse<(Nanos, Due)>>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
+    figures: Figures,
     tally: Tally,
+    life: Life,
+    posture: watch::Sender<Posture>,
+    members: Vec<bool>, // by number: whether the list has the server
+    listed: bool,       // there has been a list with a server in it, or discovery has said that there is none
 }
 
 impl Driver {
@@ -136,6 +154,9 @@
         balancer: Balancer, names: Names, clock: Clock, limits: HostLimits, pool: Pool,
         inputs: UnboundedSender<Input>, watch: Arc<Notify>,
     ) -> Self {
+        let life = Life::new(limits.longest_deadline);
+        let figures = Figures::new(&names.classes);
+        let (posture, _) = watch::channel(life.posture());
         Driver {
             balancer,
             names,
@@ -153,10 +174,20 @@
             ]),
             events: VecDeque::new(),
             actions: Vec::new(),
+            figures,
             tally: Tally::default(),
+            life,
+            posture,
+            members: Vec::new(),
+            listed: false,
         }
     }
 
+    /// What the front is to follow.
+    pub fn posture(&self) -> watch::Receiver<Posture> {
+        self.posture.subscribe()
+    }
+
     /// The socket for messages to peers.
     pub fn tell_through(&mut self, peers: Option<&Peers>) {
         self.peers = peers.cloned();
@@ -191,8 +222,8 @@
             Input::Ended { id, attempt, ended } => self.ended(id, attempt, ended),
             Input::Gone(id) => {
                 // What the module has ended by itself it need not hear of.
-                if self.table.get_mut(&id).is_some_and(|open| open.client.take().is_some()) {
-                    self.tally.left += 1;
+                let open = self.table.get_mut(&id);
+                if open.is_some_and(|open| open.end(None, &mut self.figures)) {
                     self.handle(Event::Gone(id));
                 }
                 self.settle(id);
@@ -205,19 +236,70 @@
             }
             Input::ListFailed => self.handle(Event::Servers { kind: ListKind::Failed, entries: Vec::new() }),
             Input::Peer { from, bytes } => self.handle(Event::Peer { from, bytes }),
+            Input::Call { call, said } => {
+                let answer = self.call(call);
+                let _ = said.send(answer); // a caller that has left wants no answer
+            }
+            Input::Terminate => {
+                self.order(Order::Terminate);
+            }
+        }
+    }
+
+    fn call(&mut self, call: Call) -> Said {
+        match call {
+            Call::Status if self.listed => Said::Yes(format!("{}\n", self.life.name())),
+            Call::Status => Said::NotNow("no server list yet".to_owned()),
+            Call::Figures => {
+                let members = self.members.iter().filter(|member| **member).count();
+                Said::Yes(self.figures.text(members, self.balancer.avoided(self.clock.now())))
+            }
+            Call::Maintenance { member, out } => self.maintenance(&member, out),
+            Call::Order(order) if self.order(order) => Said::Yes(format!("{}\n", self.life.name())),
+            Call::Order(order) => Said::Conflict(format!("{order:?}: the node ends")),
+        }
+    }
+
+    /// Takes a server out, or puts it back. One that the list has lost may still be meant: it may come again.
+    fn maintenance(&mut self, member: &str, out: bool) -> Said {
+        let Some(number) = self.names.servers.get(member) else {
+            return Said::Unknown(format!("no guide server {member:.100}"));
+        };
+        let (server, now) = (ServerId(number as u32), self.clock.now());
+        self.handle(Event::Maintenance { server, out });
+        self.mark(server, now);
+        Said::Yes(format!("{member} {}\n", if out { "out" } else { "back" }))
+    }
+
+    /// Carries an order out, if that can still be done.
+    fn order(&mut self, order: Order) -> bool {
+        let done = self.life.order(self.clock.now(), order);
+        info!(?order, done, state = self.life.name(), "order");
+        self.live();
+        done
+    }
+
+    /// Lets the front know what the node's life asks for, and sees to it when that changes next.
+    fn live(&mut self) {
+        self.life.tick(self.clock.now());
+        let posture = self.life.posture();
+        self.posture.send_if_modified(|known| std::mem::replace(known, posture) != posture);
+        if let Some(at) = self.life.due() {
+            self.due.push(Reverse((at, Due::Life)));
         }
     }
 
     fn request(&mut self, arrival: Arrival) {
         let Arrival { id, class, tenant, key, cost_hint, repeat, expires, outgoing, client } = arrival;
+        let now = self.clock.now();
+        let deadline = expires.saturating_sub(MARGIN).max(now);
+        self.figures.taken(class);
+        let mut open = Open { class, client: Some(client), outgoing, deadline, attempts: Vec::new() };
         if self.table.len() >= self.limits.open_requests {
-            let _ = client.send(Reply::Refused { retry_after: 0 });
+            open.end(Some(Reply::Refused { retry_after: 0 }), &mut self.figures);
             return;
         }
-        self.tally.requests += 1;
-        let now = self.clock.now();
-        let deadline = expires.saturating_sub(MARGIN).max(now);
-        self.table.insert(id, Open { client: Some(client), outgoing, deadline, attempts: Vec::new() });
+        self.table.insert(id, open);
         self.due.push(Reverse((deadline + BACKSTOP, Due::Deadline(id))));
         let budget = deadline - now;
         self.handle(Event::Request(Request { id, class, tenant, key, budget, cost_hint, repeat }));
@@ -235,14 +317,11 @@
             self.pool.put(server, connection);
         }
         if let Some(answer) = ended.answer {
-            open.answer(Reply::Served(answer));
+            open.end(Some(Reply::Served(answer)), &mut self.figures);
         }
         let terminal = open.client.is_none();
         let latency = self.clock.now() - sent;
         self.tally.ended(server, ended.status, latency);
-        if ended.status == Status::Ok {
-            self.tally.served += 1;
-        }
         let (status, report) = (ended.status, ended.report);
         self.handle(Event::Outcome { id, attempt, server, status, latency, terminal, report });
         self.settle(id);
@@ -256,20 +335,30 @@
 
     fn list(&mut self, kind: ListKind, list: List) {
         let now = self.clock.now();
-        let known = self.servers.len();
         let entries: Vec<ServerEntry> = list.endpoints.iter().map(|line| self.entry(line)).collect();
         if kind != ListKind::Partial {
-            let mut listed = vec![false; self.servers.len()];
-            entries.iter().for_each(|entry| listed[entry.id.0 as usize] = true);
-            for n in (0..known).filter(|&n| !listed[n]) {
-                self.set_ready(ServerId(n as u32), false, now);
-            }
-        }
-        for entry in &entries {
-            self.set_ready(entry.id, entry.readiness == Readiness::Ready, now);
+            self.members.fill(false);
         }
+        self.members.resize(self.servers.len(), false);
+        entries.iter().for_each(|e| self.members[e.id.0 as usize] = e.readiness != Readiness::Gone);
+        self.listed |= kind != ListKind::Persisted || !entries.is_empty();
         debug!(?kind, lines = entries.len(), "list");
+        let told: Vec<ServerId> = match kind {
+            ListKind::Partial => entries.iter().map(|entry| entry.id).collect(),
+            _ => (0..self.servers.len() as u32).map(ServerId).collect(),
+        };
         self.handle(Event::Servers { kind, entries });
+        told.into_iter().for_each(|id| self.mark(id, now));
+    }
+
+    /// Lets a server's connections know whether the module would send there: what was picked before and is not
+    /// yet written must not go out long after that has ended.
+    fn mark(&mut self, id: ServerId, now: Nanos) {
+        let ready = self.balancer.is_ready(id);
+        self.servers[id.0 as usize].set_ready(ready, now, self.limits.drain_grace);
+        if !ready {
+            self.pool.close(id);
+        }
     }
 
     fn entry(&mut self, line: &Endpoint) -> ServerEntry {
@@ -293,13 +382,6 @@
         entry
     }
 
-    fn set_ready(&mut self, id: ServerId, ready: bool, now: Nanos) {
-        self.servers[id.0 as usize].set_ready(ready, now, self.limits.drain_grace);
-        if !ready {
-            self.pool.close(id);
-        }
-    }
-
     /// What has come due.
     fn fire(&mut self) {
         let now = self.clock.now();
@@ -314,18 +396,18 @@
                 }
                 Due::Report => {
                     let ready = self.servers.iter().filter(|server| server.takes_sends(now)).count();
-                    self.tally.report(&self.names, ready);
+                    self.tally.report(&self.names, ready, self.figures.totals());
                     self.due.push(Reverse((now + REPORT_EVERY, Due::Report)));
                 }
+                Due::Life => self.live(),
             }
         }
     }
 
     /// Fails what the module has left unanswered, rather than let its client wait in vain.
     fn backstop(&mut self, id: RequestId) {
-        if let Some(open) = self.table.get_mut(&id).filter(|open| open.client.is_some()) {
-            open.answer(Reply::Failed);
-            self.tally.failed += 1;
+        let open = self.table.get_mut(&id);
+        if open.is_some_and(|open| open.end(Some(Reply::Failed), &mut self.figures)) {
             warn!(id = id.0, "unanswered at its deadline");
             self.handle(Event::Gone(id));
             self.settle(id);
@@ -347,14 +429,8 @@
         match action {
             Action::Send { id, server, timeout } => self.send(now, id, server, timeout),
             Action::Cancel { id, attempt } => self.cancel(now, id, attempt),
-            Action::Refuse { id, retry_after } => {
-                self.tally.refused += 1;
-                self.answer(id, Reply::Refused { retry_after });
-            }
-            Action::Fail { id } => {
-                self.tally.failed += 1;
-                self.answer(id, Reply::Failed);
-            }
+            Action::Refuse { id, retry_after } => self.answer(id, Reply::Refused { retry_after }),
+            Action::Fail { id } => self.answer(id, Reply::Failed),
             Action::Timer { after, token } => {
                 self.due.push(Reverse((now.saturating_add(after), Due::Timer(token))));
             }
@@ -370,7 +446,7 @@
 
     fn answer(&mut self, id: RequestId, reply: Reply) {
         if let Some(open) = self.table.get_mut(&id) {
-            open.answer(reply);
+            open.end(Some(reply), &mut self.figures);
         }
         self.settle(id);
     }
@@ -389,6 +465,7 @@
                 expires: now.saturating_add(wait).min(open.deadline),
                 connect_timeout: self.limits.connect_timeout,
                 clock: self.clock,
+                written: self.figures.written(),
             };
             let inputs = self.inputs.clone();
             let task = tokio::spawn(async move {
--- /dev/null
+++ b/crates/node/src/figures.rs
@@ -0,0 +1,168 @@
+//! All counts of a node, in one place. The driver counts a request where it takes it, and once where it takes
+//! the request's client off its table; so what is pending is a difference and cannot drift from the rest.
+
+use std::fmt::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+
+use merlinfold_settings::Numbering;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served whole.
+    Completed,
+    /// Refused: trying again does no harm.
+    Rejected,
+    /// Failed.
+    Failed,
+    /// Its client did not wait for the answer.
+    Left,
+}
+
+const ENDS: usize = 4;
+
+#[derive(Clone, Debug, Default)]
+struct OfClass {
+    name: String,
+    taken: u64,
+    ended: [u64; ENDS],
+}
+
+/// Sums over all classes since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Totals {
+    /// Requests taken.
+    pub taken: u64,
+    /// Those that ended, by [`End`].
+    pub ended: [u64; ENDS],
+}
+
+impl Totals {
+    /// Of one end.
+    pub fn of(&self, end: End) -> u64 {
+        self.ended[end as usize]
+    }
+
+    /// What was added since an earlier look.
+    pub fn since(&self, earlier: &Totals) -> Totals {
+        let ended = std::array::from_fn(|n| self.ended[n] - earlier.ended[n]);
+        Totals { taken: self.taken - earlier.taken, ended }
+    }
+}
+
+/// Counts attempts whose last byte was handed to their connection.
+#[derive(Clone, Debug, Default)]
+pub struct Written(Arc<AtomicU64>);
+
+impl Written {
+    /// One more.
+    pub fn add(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// One less: its connection had ended, and nothing was written.
+    pub fn take_back(&self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// The counts since the process started.
+#[derive(Debug, Default)]
+pub struct Figures {
+    classes: Vec<OfClass>,
+    written: Written,
+}
+
+impl Figures {
+    /// All at 0, with each class in its place.
+    pub fn new(classes: &Numbering) -> Self {
+        let of = |name: &str| OfClass { name: name.to_owned(), ..OfClass::default() };
+        Figures { classes: classes.names().map(of).collect(), written: Written::default() }
+    }
+
+    /// What attempts report to.
+    pub fn written(&self) -> Written {
+        self.written.clone()
+    }
+
+    /// A request has been taken.
+    pub fn taken(&mut self, class: usize) {
+        self.classes[class].taken += 1;
+    }
+
+    /// It has ended.
+    pub fn ended(&mut self, class: usize, end: End) {
+        self.classes[class].ended[end as usize] += 1;
+    }
+
+    /// Over all classes.
+    pub fn totals(&self) -> Totals {
+        self.classes.iter().fold(Totals::default(), |sum, class| Totals {
+            taken: sum.taken + class.taken,
+            ended: std::array::from_fn(|n| sum.ended[n] + class.ended[n]),
+        })
+    }
+
+    /// Requests taken that have not ended.
+    pub fn pending(&self) -> u64 {
+        let Totals { taken, ended } = self.totals();
+        taken - ended.iter().sum::<u64>()
+    }
+
+    /// As operators read them, one `name=value` a line.
+    pub fn text(&self, members: usize, unavailable: usize) -> String {
+        let mut text = String::new();
+        let mut line = |name: &str, value: u64| {
+            let _ = writeln!(text, "edge_balancer.{name}={value}"); // writing to a string cannot fail
+        };
+        for class in &self.classes {
+            for (name, end) in
+                [("completed", End::Completed), ("rejected", End::Rejected), ("failed", End::Failed)]
+            {
+                line(&format!("downstream_requests.{}.{name}", class.name), class.ended[end as usize]);
+            }
+        }
+        line("upstream_requests", self.written.0.load(Ordering::Relaxed));
+        line("pending", self.pending());
+        line("members", members as u64);
+        line("members_unavailable", unavailable as u64);
+        text
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_class_is_listed_from_the_start_and_what_was_taken_is_pending_or_ended() {
+        let mut names = Numbering::default();
+        names.number("read");
+        names.number("write");
+        let mut figures = Figures::new(&names);
+        assert_eq!(
+            figures.text(2, 1),
+            "edge_balancer.downstream_requests.read.completed=0\n\
+             edge_balancer.downstream_requests.read.rejected=0\n\
+             edge_balancer.downstream_requests.read.failed=0\n\
+             edge_balancer.downstream_requests.write.completed=0\n\
+             edge_balancer.downstream_requests.write.rejected=0\n\
+             edge_balancer.downstream_requests.write.failed=0\n\
+             edge_balancer.upstream_requests=0\n\
+             edge_balancer.pending=0\n\
+             edge_balancer.members=2\n\
+             edge_balancer.members_unavailable=1\n"
+        );
+        for _ in 0..3 {
+            figures.taken(1);
+        }
+        figures.ended(1, End::Rejected);
+        figures.ended(1, End::Left);
+        figures.written().add();
+        let text = figures.text(0, 0);
+        for line in ["downstream_requests.write.rejected=1", "pending=1", "upstream_requests=1"] {
+            assert!(text.contains(&format!("edge_balancer.{line}\n")), "{line} is not in {text}");
+        }
+    }
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -1,8 +1,7 @@
 //! Clients: their connections, their requests on the way to the driver, and the answers.
 
 use std::convert::Infallible;
-use std::future::Future;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,6 +22,7 @@
 use crate::clock::Clock;
 use crate::head::Asked;
 use crate::input::{Arrival, Input, Reply};
+use crate::lifecycle::Posture;
 use crate::upstream::{Outgoing, BODY_MOST};
 use merlinfold_decide::interface::{Nanos, RequestId, Settings};
 use merlinfold_settings::{Names, Numbering};
@@ -34,9 +34,9 @@
 const HEAD_MOST: usize = 16 << 10; // bytes buffered of a request: all slots together must fit in memory
 const SPARE: usize = 32; // connections short of the most at which they are closed after their answer
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10); // after a failed accept, so as not to spin
-const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(550); // for what clients still open then
+/// For a head on a connection that comes to a node which takes no new ones: nothing may stay open there.
+const HEAD_TIMEOUT_LEAVING: Duration = Duration::from_millis(500);
 const SETTLE: Duration = Duration::from_millis(20); // until a connection is sure to have been looked at
-const OVER_DEADLINE: Duration = Duration::from_millis(500); // after a stop, to have sent all answers
 
 const REPORT_EVERY: Duration = Duration::from_secs(5); // between log lines on the clients' connections
 
@@ -49,12 +49,12 @@
     classes: Numbering,
     tenants: Numbering,
     deadlines: Vec<Nanos>,
+    posture: watch::Receiver<Posture>,
     clock: Clock,
     inputs: UnboundedSender<Input>,
     next: AtomicU64,
     slots: Arc<Semaphore>,
     most: usize,
-    stopping: AtomicBool,
     pulse: Pulse,
     tally: Tally,
 }
@@ -90,24 +90,25 @@
 impl Front {
     pub fn new(
         settings: &Settings, names: &Names, clock: Clock, inputs: UnboundedSender<Input>, most: usize,
+        posture: watch::Receiver<Posture>,
     ) -> Self {
         Front {
             classes: names.classes.clone(),
             tenants: names.tenants.clone(),
             deadlines: settings.classes.iter().map(|class| class.deadline).collect(),
+            posture,
             clock,
             inputs,
             next: AtomicU64::new(0),
             slots: Arc::new(Semaphore::new(most)),
             most,
-            stopping: AtomicBool::new(false),
             pulse: Pulse::new(clock.now()),
             tally: Tally::default(),
         }
     }
 
-    /// Accepts until some time after the stop, and returns when all connections have ended.
-    pub async fn serve(self: Arc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
+    /// Accepts for as long as the posture says, and returns when all connections have ended.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
         let (close, closing) = watch::channel(false);
         let front = self.clone();
         tokio::spawn(async move {
@@ -126,26 +127,18 @@
                 self.accept(&listener, &closing).await;
             }
         };
-        let mut stopped = Instant::now();
-        let stop = async {
-            stop.await;
-            stopped = Instant::now();
-            info!("stopping");
-            self.stopping.store(true, Ordering::Relaxed);
-            sleep(ACCEPT_AFTER_STOP).await;
-        };
+        let mut posture = self.posture.clone();
         tokio::select! {
             () = accept => {}
-            () = stop => {}
+            _ = posture.wait_for(|posture| !posture.accepts) => {}
         }
         // What the kernel has accepted counts as taken.
         while timeout(SETTLE, self.accept(&listener, &closing)).await.is_ok() {}
         drop(listener);
         sleep(SETTLE).await;
         close.send_replace(true);
-        let longest = self.deadlines.iter().copied().max().unwrap_or(0);
-        let latest = stopped + Duration::from_nanos(longest) + OVER_DEADLINE;
-        if timeout_at(latest, self.slots.acquire_many(self.most as u32)).await.is_err() {
+        let ends_at = self.posture.borrow().ends_at.unwrap_or(self.clock.now());
+        if timeout_at(self.clock.instant(ends_at), self.slots.acquire_many(self.most as u32)).await.is_err() {
             warn!("connections were still open at the end");
         }
     }
@@ -175,9 +168,12 @@
         mut closing: watch::Receiver<bool>,
     ) {
         let service = service_fn(|request| self.answer(request));
+        let mut posture = self.posture.clone();
+        let Posture { keeps, retired, .. } = *posture.borrow_and_update();
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
+            .keep_alive(keeps)
+            .header_read_timeout(if keeps { HEAD_TIMEOUT } else { HEAD_TIMEOUT_LEAVING })
             .max_buf_size(HEAD_MOST)
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
@@ -185,6 +181,7 @@
             biased;
             ended = connection.as_mut() => return self.ended(ended),
             _ = closing.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
+            _ = posture.wait_for(|now| now.retired > retired) => connection.as_mut().graceful_shutdown(),
         }
         let _ = connection.await; // how it ends shows at the request on it
     }
@@ -211,7 +208,7 @@
                 response
             }
         };
-        if improper || self.stopping.load(Ordering::Relaxed) || self.slots.available_permits() < SPARE {
+        if improper || !self.posture.borrow().keeps || self.slots.available_permits() < SPARE {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
@@ -220,8 +217,12 @@
     async fn respond(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, StatusCode> {
         let arrived = self.pulse.arrival(self.clock.now());
         let (head, body) = request.into_parts();
-        if head.uri.path() == "/health/ready" && head.method == Method::GET {
-            return Ok(Response::new(Full::default()));
+        if head.uri.path() == "/health/ready" && matches!(head.method, Method::GET | Method::HEAD) {
+            let mut response = Response::new(Full::default());
+            if !self.posture.borrow().ready {
+                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            }
+            return Ok(response);
         }
         let asked = Asked::read(&head.uri, &head.headers);
         let class = asked.class.and_then(|name| self.classes.get(name)).ok_or(StatusCode::NOT_FOUND)?;
@@ -325,6 +326,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::lifecycle::Life;
     use merlinfold_decide::interface::{Class, Effect, Placement};
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
@@ -342,7 +344,8 @@
             placement: Placement::default(),
         };
         let settings = Settings { classes: vec![class], ..Settings::default() };
-        let front = Arc::new(Front::new(&settings, &names, Clock::new(), inputs, 1));
+        let (_posture, posture) = watch::channel(Life::new(5_000_000_000).posture());
+        let front = Arc::new(Front::new(&settings, &names, Clock::new(), inputs, 1, posture));
         let (_close, closing) = watch::channel(false);
         let slot = front.slots.clone().try_acquire_owned().unwrap();
         let (mut peer, stream) = tokio::io::duplex(1 << 20);
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -5,6 +5,7 @@
 use merlinfold_decide::interface::{Nanos, RequestId};
 use tokio::sync::oneshot;
 
+use crate::lifecycle::Order;
 use crate::list::List;
 use crate::upstream::{Answer, Ended, Outgoing};
 
@@ -12,10 +13,48 @@
 pub enum Input {
     Request(Arrival),
     Gone(RequestId),
-    Ended { id: RequestId, attempt: u32, ended: Ended },
+    Ended {
+        id: RequestId,
+        attempt: u32,
+        ended: Ended,
+    },
     List(List),
     ListFailed,
-    Peer { from: u32, bytes: Vec<u8> },
+    Peer {
+        from: u32,
+        bytes: Vec<u8>,
+    },
+    /// An operator's call.
+    Call {
+        call: Call,
+        said: oneshot::Sender<Said>,
+    },
+    /// The platform ends this process.
+    Terminate,
+}
+
+/// What operators ask for.
+#[derive(Debug)]
+pub enum Call {
+    /// Whether this process can serve.
+    Status,
+    /// All counts.
+    Figures,
+    /// Takes a server out, or puts it back.
+    Maintenance { member: String, out: bool },
+    /// Changes the node's life.
+    Order(Order),
+}
+
+/// What they are told.
+#[derive(Debug)]
+pub enum Said {
+    Yes(String),
+    NotNow(String),
+    /// What the node is doing does not allow it.
+    Conflict(String),
+    /// There is no such thing.
+    Unknown(String),
 }
 
 /// A client's request.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,11 +1,14 @@
 //! The real node: the decision module on sockets. Each part reports to the driver by messages.
 
 mod clock;
+mod console;
 mod discovery;
 mod driver;
+mod figures;
 mod front;
 pub mod head;
 mod input;
+mod lifecycle;
 mod list;
 mod peers;
 pub mod process;
@@ -29,7 +32,7 @@
 const BACKLOG: u32 = 1024; // connections that the kernel holds until they are accepted
 const CLIENTS_PART: usize = 3; // one descriptor in so many may be held by clients
 const SOCKETS_LEAST: usize = 64; // descriptors below which no useful node fits
-const OTHER_SOCKETS: usize = 32; // listener, peers, discovery, runtime, log, and some that are closing
+const OTHER_SOCKETS: usize = 16 + console::CALLERS_MOST; // listeners, peers, discovery, runtime, log, callers
 
 /// What a node is told at its start.
 #[derive(Debug, Deserialize)]
@@ -37,6 +40,8 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    /// Where operators call; none: nowhere.
+    console: Option<SocketAddr>,
     seed: String,
     limits: Limits,
     peer_listen: Option<SocketAddr>,
@@ -77,6 +82,9 @@
         if self.limits.sockets < SOCKETS_LEAST {
             return Err(format!("limits.sockets: under {SOCKETS_LEAST}"));
         }
+        if self.console == Some(self.listen) && self.listen.port() != 0 {
+            return Err(format!("console: {} is where clients connect", self.listen));
+        }
         Ok((host, settings, seed))
     }
 }
@@ -102,6 +110,7 @@
     listener: TcpListener,
     front: front::Front,
     driver: driver::Driver,
+    console: Option<TcpListener>,
     inputs: mpsc::UnboundedReceiver<input::Input>,
     peers: Option<peers::Peers>,
     discovery: discovery::Watcher,
@@ -119,6 +128,7 @@
         let half = (config.limits.sockets - OTHER_SOCKETS) / 2;
         let cannot = |what, at| move |error: io::Error| format!("{what}: cannot use {at}: {error}");
         let listener = listen(config.listen).map_err(cannot("listen", config.listen))?;
+        let console = config.console.map(|at| listen(at).map_err(cannot("console", at))).transpose()?;
         let (sender, inputs) = mpsc::unbounded_channel();
         let peers = match config.peer_listen {
             Some(at) => {
@@ -130,13 +140,19 @@
         let asks = settings.discovery == Discovery::Ask;
         let (moves, address) = watch::channel(config.discovery);
         let (discovery, watch) = discovery::Watcher::new(address, sender.clone(), asks);
-        let front = front::Front::new(&settings, &names, clock, sender.clone(), clients);
         let pool = upstream::Pool::new(half, host, clock);
-        let balancer = Balancer::new(settings, seed);
-        let mut driver = driver::Driver::new(balancer, names, clock, host, pool, sender, watch);
+        let balancer = Balancer::new(settings.clone(), seed);
+        let mut driver =
+            driver::Driver::new(balancer, names.clone(), clock, host, pool, sender.clone(), watch);
+        let front = front::Front::new(&settings, &names, clock, sender, clients, driver.posture());
         driver.tell_through(peers.as_ref());
         driver.known(config.known.unwrap_or_default());
-        Ok(Node { listener, front, driver, inputs, peers, discovery, moves, name: config.name })
+        Ok(Node { listener, front, driver, console, inputs, peers, discovery, moves, name: config.name })
+    }
+
+    /// Where operators call, if anywhere.
+    pub fn console(&self) -> Option<SocketAddr> {
+        self.console.as_ref().and_then(|console| console.local_addr().ok())
     }
 
     /// Where clients connect.
@@ -158,11 +174,20 @@
         parts.spawn(self.driver.run(self.inputs));
         parts.spawn(self.discovery.run());
         if let Some(peers) = self.peers {
-            parts.spawn(peers.receive(sender));
+            parts.spawn(peers.receive(sender.clone()));
         }
+        if let Some(console) = self.console {
+            parts.spawn(console::serve(console, sender.clone()));
+        }
+        let stop = async move {
+            stop.await;
+            let _ = sender.send(input::Input::Terminate); // a driver that is gone has nothing to stop
+            std::future::pending::<()>().await
+        };
         // The front decides when the node is done; the other parts go on serving it until then.
         tokio::select! {
-            () = Arc::new(self.front).serve(self.listener, stop) => info!("stopped"),
+            () = Arc::new(self.front).serve(self.listener) => info!("stopped"),
+            () = stop => {}
             Some(Err(fault)) = parts.join_next() => std::panic::resume_unwind(fault.into_panic()),
         }
     }
--- /dev/null
+++ b/crates/node/src/lifecycle.rs
@@ -0,0 +1,182 @@
+//! The node's life as a state machine: orders and time go in, a posture comes out that the front follows.
+
+use merlinfold_decide::interface::Nanos;
+
+const ACCEPT_AFTER_STOP: Nanos = 550_000_000; // for what clients still open then
+const OVER_DEADLINE: Nanos = 500_000_000; // after the longest deadline from a stop: all answers are out
+/// From standby on, until connections without a request are closed: the front has by then sent clients
+/// elsewhere, and what is left of the 4 s that a drain may take covers the longest answer.
+const IDLE_IN_STANDBY: Nanos = 1_000_000_000;
+
+/// What a node is told by its operators or its platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Drain: take nothing new, and stay.
+    Standby,
+    /// Back to work.
+    Active,
+    /// Answer what is held, and end.
+    Terminate,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Active,
+    Standby { since: Nanos },
+    Stopping { since: Nanos },
+}
+
+/// What the front does about clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Posture {
+    /// Readiness is answered with yes.
+    pub ready: bool,
+    /// Connections stay open after an answer.
+    pub keeps: bool,
+    /// How many times those without a request were to be closed so far.
+    pub retired: u64,
+    /// New connections are taken.
+    pub accepts: bool,
+    /// When the node ends, whatever is left by then.
+    pub ends_at: Option<Nanos>,
+}
+
+/// One node's life.
+#[derive(Debug)]
+pub struct Life {
+    state: State,
+    retired: u64,
+    retire_at: Option<Nanos>,
+    accepts: bool,
+    longest: Nanos,
+}
+
+impl Life {
+    /// A node that works; `longest` is the longest time that a client waits for an answer.
+    pub fn new(longest: Nanos) -> Self {
+        Life { state: State::Active, retired: 0, retire_at: None, accepts: true, longest }
+    }
+
+    /// Takes an order; false if it cannot be carried out any more.
+    pub fn order(&mut self, now: Nanos, order: Order) -> bool {
+        match (self.state, order) {
+            (State::Stopping { .. }, Order::Active) => return false,
+            (State::Stopping { .. }, _) | (State::Standby { .. }, Order::Standby) => {}
+            (_, Order::Terminate) => (self.state, self.retire_at) = (State::Stopping { since: now }, None),
+            (_, Order::Standby) => {
+                (self.state, self.retire_at) = (State::Standby { since: now }, Some(now + IDLE_IN_STANDBY));
+            }
+            (_, Order::Active) => (self.state, self.retire_at) = (State::Active, None),
+        }
+        true
+    }
+
+    /// Does what has come due.
+    pub fn tick(&mut self, now: Nanos) {
+        if self.retire_at.is_some_and(|at| at <= now) {
+            (self.retire_at, self.retired) = (None, self.retired + 1);
+        }
+        if let State::Stopping { since } = self.state {
+            self.accepts &= now < since + ACCEPT_AFTER_STOP;
+        }
+    }
+
+    /// When time alone next changes the posture.
+    pub fn due(&self) -> Option<Nanos> {
+        match self.state {
+            State::Stopping { since } if self.accepts => Some(since + ACCEPT_AFTER_STOP),
+            _ => self.retire_at,
+        }
+    }
+
+    /// As of the last order or tick.
+    pub fn posture(&self) -> Posture {
+        let ends_at = match self.state {
+            State::Stopping { since } => Some(since + self.longest + OVER_DEADLINE),
+            _ => None,
+        };
+        // One that stops still says yes: the platform takes it out itself, and what comes meanwhile is served.
+        let ready = !matches!(self.state, State::Standby { .. });
+        Posture {
+            ready,
+            keeps: self.state == State::Active,
+            retired: self.retired,
+            accepts: self.accepts,
+            ends_at,
+        }
+    }
+
+    /// One word for the log.
+    pub fn name(&self) -> &'static str {
+        match self.state {
+            State::Active => "active",
+            State::Standby { .. } => "standby",
+            State::Stopping { .. } => "stopping",
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const DRAIN: Nanos = 4_000_000_000; // within which a drained node holds no idle connection
+
+    fn orders() -> impl Strategy<Value = Vec<(Nanos, Order)>> {
+        let order = prop_oneof![
+            4 => Just(Order::Standby),
+            4 => Just(Order::Active),
+            1 => Just(Order::Terminate),
+        ];
+        prop::collection::vec((0..2_500_000_000u64, order), 1..12)
+    }
+
+    proptest! {
+        /// Whatever is ordered in whatever order: standby ends idle connections in time, `active` undoes it
+        /// at any moment, a stop is for good, and time alone ends it.
+        #[test]
+        fn every_order_holds_until_the_next(orders in orders()) {
+            let (mut life, mut now) = (Life::new(750_000_000), 0);
+            let (mut standby_since, mut retired_then, mut stopped) = (None::<Nanos>, 0, None::<Nanos>);
+            for (after, order) in orders {
+                // Time passes in the steps that the machine itself asks for.
+                let until = now + after;
+                while let Some(due) = life.due().filter(|due| *due <= until) {
+                    prop_assert!(due >= now);
+                    now = due;
+                    life.tick(now);
+                }
+                now = until;
+                let before = life.posture();
+                if let Some(since) = standby_since.filter(|_| stopped.is_none()) {
+                    prop_assert!(!before.ready && !before.keeps && before.accepts);
+                    prop_assert!(now < since + DRAIN / 2 || before.retired > retired_then);
+                }
+                let done = life.order(now, order);
+                let after = life.posture();
+                prop_assert_eq!(done, stopped.is_none() || order != Order::Active);
+                match order {
+                    Order::Terminate => stopped = stopped.or(Some(now)),
+                    Order::Standby if standby_since.is_none() => {
+                        (standby_since, retired_then) = (Some(now), after.retired);
+                    }
+                    Order::Standby => {}
+                    Order::Active => standby_since = None,
+                }
+                if stopped.is_some() {
+                    prop_assert!(!after.keeps && after.ends_at.is_some());
+                } else if standby_since.is_none() {
+                    prop_assert!(after.ready && after.keeps && after.accepts && after.ends_at.is_none());
+                    prop_assert_eq!(life.due(), None);
+                }
+            }
+            if stopped.is_some() {
+                while let Some(due) = life.due() {
+                    life.tick(due);
+                }
+                prop_assert!(!life.posture().accepts);
+            }
+        }
+    }
+}
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -1,6 +1,8 @@
 //! A node as a process: reads its configuration, serves, reads it again on SIGHUP, and ends on SIGTERM when
 //! all is answered.
 
+use std::net::SocketAddr;
+
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tracing::warn;
 
@@ -11,7 +13,10 @@
 pub fn run() -> Result<(), String> {
     let path = std::env::var("BALANCER_CONFIG").map_err(|error| format!("BALANCER_CONFIG: {error}"))?;
     let text = read(&path)?;
-    let config = Config::parse(&text).map_err(|fault| format!("configuration: {fault}"))?;
+    let mut config = Config::parse(&text).map_err(|fault| format!("configuration: {fault}"))?;
+    if config.console.is_none() {
+        config.console = console()?;
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     runtime.map_err(|error| format!("runtime: {error}"))?.block_on(async {
         let mut terminated = signal(SignalKind::terminate()).map_err(|error| format!("SIGTERM: {error}"))?;
@@ -29,6 +34,13 @@
     })
 }
 
+/// Where operators call, as the environment has it.
+fn console() -> Result<Option<SocketAddr>, String> {
+    let told = std::env::var("BALANCER_CONSOLE").ok().filter(|at| !at.is_empty());
+    let parse = |at: String| at.parse().map_err(|error| format!("BALANCER_CONSOLE: {at:?}: {error}"));
+    told.map(parse).transpose()
+}
+
 fn read(path: &str) -> Result<String, String> {
     std::fs::read_to_string(path).map_err(|error| format!("BALANCER_CONFIG: {path}: {error}"))
 }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -24,6 +24,7 @@
 use tokio::time::{timeout, timeout_at, Duration};
 
 use crate::clock::Clock;
+use crate::figures::Written;
 use merlinfold_decide::interface::{LoadReport, Nanos, ServerId, Status};
 use merlinfold_settings::{set_figure, HostLimits};
 
@@ -272,6 +273,8 @@
     pub expires: Nanos,
     pub connect_timeout: Nanos,
     pub clock: Clock,
+    /// Counts it, once its last byte is handed to the connection.
+    pub written: Written,
 }
 
 impl Attempt {
@@ -309,11 +312,15 @@
         }
         let wait = Duration::from_nanos(self.expires.saturating_sub(now));
         *begun = true;
-        match connection.sender.try_send_request(self.request.request(self.server.address, wait)).await {
+        let sent = connection.sender.try_send_request(self.request.request(self.server.address, wait));
+        // An unsent one is off by one for as long as it takes to be sent elsewhere, and goes there at once.
+        self.written.add();
+        match sent.await {
             Ok(response) => Ok(receive(connection, response).await),
             Err(mut error) => match error.take_message() {
                 Some(_unsent) => {
                     *begun = false;
+                    self.written.take_back();
                     Err(connection)
                 }
                 None => Ok(Status::Reset.into()),
@@ -379,6 +386,7 @@
             expires: clock.now() + 5_000_000_000,
             connect_timeout: 5_000_000_000,
             clock,
+            written: Written::default(),
         };
         assert_eq!(run.run(Way::Connect(slot)).await.status, Status::Moot);
         let (mut stream, _) = listener.accept().await.unwrap();
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -116,6 +116,8 @@
     pub open_requests: usize,
     /// How long sends may go on to a server that drains or is gone.
     pub drain_grace: Nanos,
+    /// The longest time that a client waits for an answer.
+    pub longest_deadline: Nanos,
 }
 
 impl Env {
@@ -210,6 +212,7 @@
             idle_timeout: need(self.limits.conn_idle, "Limits.ConnIdle")?,
             open_requests: self.limits.open_cap.unwrap_or(usize::MAX),
             drain_grace: self.obligations.stop_sending_within,
+            longest_deadline: self.categories.iter().map(|category| category.give_up).max().unwrap_or(0),
         })
     }
 }
@@ -248,6 +251,11 @@
         &self.names[number]
     }
 
+    /// All names, in the order of their numbers.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.names.iter().map(String::as_str)
+    }
+
     /// A name that no server has yet still gets a number of its own, so that a list of such names
     /// allows nothing rather than everything.
     fn list(&mut self, names: &Option<Vec<String>>) -> Option<Vec<u16>> {
@@ -256,7 +264,7 @@
 }
 
 /// The names that one node has met.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Names {
     /// Of request classes.
     pub classes: Numbering,
