Let a second process take clients on the same address, and empty the queue on leaving

Listeners share the address (SO_REUSEPORT); the one that leaves takes all that waits in its accept queue and closes it in the same breath. Sockets for peers are shared as well, the console's is not.

--- a/crates/node/src/console.rs
+++ b/crates/node/src/console.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,7 +15,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Deserialize;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc::UnboundedSender, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout, Instant};
@@ -25,10 +27,19 @@
 /// Callers at once. Beyond that a new one ends the one that came first, so those who sit there keep nobody out.
 pub const CALLERS_MOST: usize = 16;
 const CALL_TIMEOUT: Duration = Duration::from_secs(3); // for a whole call: callers wait 1 s
+const BACKLOG: u32 = 64; // callers that the kernel holds until they are accepted
 const BODY_MOST: usize = 4 << 10; // bytes: a member's name fits many times over
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10); // after a failed accept, so as not to spin
 const FAULTS_EVERY: Duration = Duration::from_secs(1); // between log lines on calls that were no good
 
+/// Opens the listener. Unlike the clients' address no two processes share it: a call is meant for one of them.
+pub fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(at)?;
+    socket.listen(BACKLOG)
+}
+
 /// Takes calls for as long as the node runs.
 pub async fn serve(listener: TcpListener, inputs: UnboundedSender<Input>) {
     let mut callers: VecDeque<AbortHandle> = VecDeque::new();
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -1,6 +1,7 @@
 //! Clients: their connections, their requests on the way to the driver, and the answers.
 
 use std::convert::Infallible;
+use std::io::ErrorKind::{ConnectionAborted, Interrupted};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,9 +15,9 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc::UnboundedSender, oneshot, watch, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 use tracing::{info, warn};
 
 use crate::clock::Clock;
@@ -132,9 +133,7 @@
             () = accept => {}
             _ = posture.wait_for(|posture| !posture.accepts) => {}
         }
-        // What the kernel has accepted counts as taken.
-        while timeout(SETTLE, self.accept(&listener, &closing)).await.is_ok() {}
-        drop(listener);
+        self.leave(listener, &closing).await;
         sleep(SETTLE).await;
         close.send_replace(true);
         let ends_at = self.posture.borrow().ends_at.unwrap_or(self.clock.now());
@@ -149,13 +148,7 @@
         }
         let Ok(slot) = self.slots.clone().acquire_owned().await else { return };
         match listener.accept().await {
-            Ok((stream, _)) => {
-                count(&self.tally.accepted);
-                if stream.set_nodelay(true).is_err() {
-                    return; // it has ended already
-                }
-                tokio::spawn(self.clone().connection(stream, slot, closing.clone()));
-            }
+            Ok((stream, _)) => self.take(stream, slot, closing),
             Err(error) => {
                 warn!(%error, "accept"); // short of descriptors, or the client has left again
                 sleep(ACCEPT_PAUSE).await;
@@ -163,6 +156,34 @@
         }
     }
 
+    fn take(
+        self: &Arc<Self>, stream: TcpStream, slot: OwnedSemaphorePermit, closing: &watch::Receiver<bool>,
+    ) {
+        count(&self.tally.accepted);
+        // A stream that takes no option has ended already.
+        if stream.set_nodelay(true).is_ok() {
+            tokio::spawn(self.clone().connection(stream, slot, closing.clone()));
+        }
+    }
+
+    /// Takes all that the kernel has accepted, which counts as taken, and closes the listener in the moment in
+    /// which nothing is left: whatever came between the two would be reset.
+    async fn leave(self: &Arc<Self>, listener: TcpListener, closing: &watch::Receiver<bool>) {
+        let Ok(listener) = listener.into_std() else { return };
+        while let Ok(slot) = self.slots.clone().acquire_owned().await {
+            match listener.accept().map(|(stream, _)| stream) {
+                Ok(stream) => {
+                    let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+                    if let Ok(stream) = stream {
+                        self.take(stream, slot, closing);
+                    }
+                }
+                Err(error) if matches!(error.kind(), ConnectionAborted | Interrupted) => {}
+                Err(_) => return, // nothing is left, or nothing more is to be had
+            }
+        }
+    }
+
     async fn connection(
         self: Arc<Self>, stream: impl AsyncRead + AsyncWrite + Unpin, _slot: OwnedSemaphorePermit,
         mut closing: watch::Receiver<bool>,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -128,11 +128,12 @@
         let half = (config.limits.sockets - OTHER_SOCKETS) / 2;
         let cannot = |what, at| move |error: io::Error| format!("{what}: cannot use {at}: {error}");
         let listener = listen(config.listen).map_err(cannot("listen", config.listen))?;
-        let console = config.console.map(|at| listen(at).map_err(cannot("console", at))).transpose()?;
+        let open_console = |at| console::listen(at).map_err(cannot("console", at));
+        let console = config.console.map(open_console).transpose()?;
         let (sender, inputs) = mpsc::unbounded_channel();
         let peers = match config.peer_listen {
             Some(at) => {
-                let socket = UdpSocket::bind(at).await.map_err(cannot("peer_listen", at))?;
+                let socket = receive(at).map_err(cannot("peer_listen", at))?;
                 Some(peers::Peers::new(socket, config.peers, config.peers_all, settings.me))
             }
             None => None,
@@ -193,9 +194,20 @@
     }
 }
 
+/// Two processes of one node share the address while one takes over from the other.
 fn listen(at: SocketAddr) -> io::Result<TcpListener> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
     socket.bind(at)?;
     socket.listen(BACKLOG)
 }
+
+/// The same for messages between nodes; each goes to one of the two.
+fn receive(at: SocketAddr) -> io::Result<UdpSocket> {
+    let socket = socket2::Socket::new(socket2::Domain::for_address(at), socket2::Type::DGRAM, None)?;
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&at.into())?;
+    UdpSocket::from_std(socket.into())
+}
