Share operators' orders between the processes of a node, also over an upgrade

Orders stand in a file under $TMPDIR that both processes look at ten times a second; two locked files tell each whether the other lives.

Tests: a server taken out before the successor starts, calls to either process, standby over the predecessor's end; torn, foreign and later files.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::sync::{mpsc, Arc, Condvar, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -159,6 +160,23 @@
     json!({"index": index, "snapshot": true, "endpoints": servers.iter().map(line).collect::<Vec<_>>()})
 }
 
+/// A folder of a test's own, gone with it.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("merlinfold-test-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
 /// The configuration of a node with a safe class `read` and an unsafe one `pay`.
 pub fn config(discovery: SocketAddr, known: &[(&str, SocketAddr)]) -> Value {
     let class = |name, semantics| {
@@ -184,13 +202,19 @@
 
 impl Running {
     pub fn start(config: &Value) -> Self {
+        Self::start_in(None, config)
+    }
+
+    /// One that shares a folder with other processes of the same node.
+    pub fn start_in(folder: Option<&Path>, config: &Value) -> Self {
+        let folder = folder.map(Path::to_owned);
         let config = Config::parse(&config.to_string()).unwrap();
         let (stop, stopped) = oneshot::channel();
         let (tell, address) = mpsc::channel();
         let thread = thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
             runtime.block_on(async {
-                let node = Node::bind(config).await.unwrap();
+                let node = Node::bind(config, folder.as_deref()).await.unwrap();
                 tell.send((node.address().unwrap(), node.console())).unwrap();
                 node.run(async { stopped.await.unwrap_or(()) }).await;
             });
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -248,7 +248,7 @@
     ));
     std::fs::write(&path, config).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_merlinfold"));
-    command.env("BALANCER_CONFIG", &path).stderr(Stdio::piped());
+    command.env("BALANCER_CONFIG", &path).env_remove("TMPDIR").stderr(Stdio::piped());
     (command, path)
 }
 
--- a/crates/cli/tests/upgrade.rs
+++ b/crates/cli/tests/upgrade.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
+use std::time::Instant;
 
 use common::*;
 use serde_json::json;
@@ -38,3 +39,51 @@
     done.store(true, Ordering::Relaxed);
     assert!(asking.into_iter().map(|asking| asking.join().expect("all are served")).sum::<u32>() > 0);
 }
+
+/// Guards what operators have ordered over an upgrade, whichever process they tell, and after it.
+#[test]
+fn orders_hold_for_both_processes_whichever_is_told() {
+    let (one, two) = (Server::start(|_| Then::Write(answer(200, "", "one"))), Server::start(|_| Then::Hang));
+    let known = [("one", one.address), ("two", two.address)];
+    let (_told, discovery) = Discovery::start(&known);
+    let folder = Folder::new("both");
+    let mut config = config(discovery.address, &known);
+    config["console"] = json!("127.0.0.1:0");
+    let mut old = Running::start_in(Some(&folder.0), &config);
+    assert_eq!(old.call("POST", "/maintenance/enter", r#"{"member":"two"}"#).status(), 200);
+    config["listen"] = json!(old.address);
+    // The successor knows of no server yet: what is out is out once it does.
+    config["known"]["endpoints"] = json!([]);
+    let new = Running::start_in(Some(&folder.0), &config);
+    new.wait_for("members", 2);
+    assert_eq!(new.figure("members_unavailable"), 1);
+    assert!((0..20).all(|_| new.ask("read").status() == 200), "it was sent to a server that is out");
+    assert_eq!(new.call("POST", "/maintenance/enter", r#"{"member":"one"}"#).status(), 200);
+    old.wait_for("members_unavailable", 2);
+    assert_eq!(old.call("POST", "/maintenance/exit", r#"{"member":"one"}"#).status(), 200);
+    new.wait_for("members_unavailable", 1);
+    assert_eq!(new.call("POST", "/standby", "").status(), 200);
+    old.stop();
+    old.join();
+    let newest = Running::start_in(Some(&folder.0), &config);
+    let ready = || {
+        let mut front = newest.client();
+        front.write("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        front.read().expect("an answer").status()
+    };
+    newest.wait_for("members", 2);
+    assert_eq!(
+        (newest.call("GET", "/status", "").status(), ready()),
+        (200, 503),
+        "drained, and able to serve"
+    );
+    assert_eq!(newest.call("POST", "/active", "").status(), 200);
+    let begun = Instant::now();
+    while ready() != 200 {
+        assert!(
+            begun.elapsed() < PATIENCE,
+            "either process may have taken the connection, and neither is ready"
+        );
+    }
+    newest.wait_for("members_unavailable", 1);
+}
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -337,6 +337,8 @@
         server: ServerId,
         /// Whether it is out from now on.
         out: bool,
+        /// When that was ordered: an order may be older than the process that hears of it.
+        since: Nanos,
     },
     /// A timer set by the module has come due.
     Timer(u64),
--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -247,7 +247,7 @@
             Event::Outcome { .. } => self.outcome(now, event, out),
             Event::Timer(0) => self.tick(now, out),
             Event::Peer { bytes, .. } => self.hear(now, &bytes),
-            Event::Maintenance { server, out } => self.maintain(now, server, out),
+            Event::Maintenance { server, out, since } => self.maintain(now, server, out, since),
             Event::Timer(_) | Event::Probed { .. } => {}
         }
     }
@@ -271,16 +271,17 @@
 
     /// Out, a server gets what one that drains gets: nothing. Back, it enters like one that has just started,
     /// for operators restart it meanwhile. A second order of the same kind changes nothing.
-    fn maintain(&mut self, now: Nanos, id: ServerId, out: bool) {
-        if out == self.out.contains(&id) {
+    fn maintain(&mut self, now: Nanos, id: ServerId, out: bool, since: Nanos) {
+        let known = match out {
+            true => !self.out.insert(id),
+            false => !self.out.remove(&id) && self.returned.get(&id) == Some(&since),
+        };
+        if known {
             return;
         }
-        if out {
-            self.out.insert(id);
-            self.returned.remove(&id);
-        } else {
-            self.out.remove(&id);
-            self.returned.insert(id, now);
+        match out {
+            true => drop(self.returned.remove(&id)),
+            false => drop(self.returned.insert(id, since)),
         }
         if let Some(server) = self.servers.get(&id) {
             let entry = server.entry.clone();
--- a/crates/decide/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -165,15 +165,17 @@
 #[test]
 fn out_by_hand_lasts_whatever_the_list_says_until_one_call_back_and_the_return_is_cold() {
     let mut node = node(Effect::Safe, 2);
-    let out = |out| Event::Maintenance { server: ServerId(0), out };
+    let out = |node: &mut Node, out| {
+        node.give(Event::Maintenance { server: ServerId(0), out, since: node.at });
+    };
     let only_the_other = |node: &mut Node, when: &str| {
         for _ in 0..50 {
             node.at += 20 * MS;
             assert_eq!(node.serve(0, |_| 10 * MS), Some(ServerId(1)), "{when}");
         }
     };
-    node.give(out(true));
-    node.give(out(true));
+    out(&mut node, true);
+    out(&mut node, true);
     only_the_other(&mut node, "out");
     assert_eq!(node.balancer.avoided(node.at), 1);
     node.list(ListKind::Partial, vec![ServerEntry { readiness: Readiness::Gone, ..entry(0) }]);
@@ -182,7 +184,7 @@
     only_the_other(&mut node, "started anew");
     node.list(ListKind::Complete, vec![entry(0), entry(1)]);
     only_the_other(&mut node, "in a whole list");
-    node.give(out(false));
+    out(&mut node, false);
     assert!(node.balancer.is_ready(ServerId(0)) && node.balancer.avoided(node.at) == 0);
     node.list(ListKind::Complete, vec![entry(0), entry(1)]); // which has it as started long ago
     let mut back = 0;
@@ -197,9 +199,12 @@
 #[test]
 fn with_all_servers_out_requests_are_refused_at_once_and_served_again_after_one_is_back() {
     let mut node = node(Effect::Safe, 2);
-    (0..2).for_each(|n| drop(node.give(Event::Maintenance { server: ServerId(n), out: true })));
+    let since = node.at;
+    for n in 0..2 {
+        node.give(Event::Maintenance { server: ServerId(n), out: true, since });
+    }
     assert!(refused(&node.ask(0, S).1));
-    node.give(Event::Maintenance { server: ServerId(1), out: false });
+    node.give(Event::Maintenance { server: ServerId(1), out: false, since });
     assert!(!refused(&node.ask(0, S).1));
 }
 
@@ -581,7 +586,8 @@
                     true => self.out.insert(n),
                     false => self.out.remove(&n),
                 };
-                let actions = self.node.give(Event::Maintenance { server: ServerId(n), out });
+                let since = self.node.at;
+                let actions = self.node.give(Event::Maintenance { server: ServerId(n), out, since });
                 self.take(actions);
                 let ready = |n: &u32| self.ready.contains(n) && !self.out.contains(n);
                 assert!((0..8).all(|n| self.node.balancer.is_ready(ServerId(n)) == ready(&n)));
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -67,6 +67,7 @@
         let child = Command::new("/bin/sh")
             .args(["-c", &format!("ulimit -n {sockets}; exec \"$0\" \"$@\"")])
             .args(&command.words)
+            .env_remove("TMPDIR") // nothing to share: names of nodes are the same in every play
             .env("BALANCER_CONFIG", &file)
             .env("BALANCER_NAME", format!("n{node}"))
             .stdin(Stdio::null())
--- a/crates/node/src/console.rs
+++ b/crates/node/src/console.rs
@@ -22,7 +22,6 @@
 use tracing::{info, warn};
 
 use crate::input::{Call, Input, Said};
-use crate::lifecycle::Order;
 
 /// Callers at once. Beyond that a new one ends the one that came first, so those who sit there keep nobody out.
 pub const CALLERS_MOST: usize = 16;
@@ -158,8 +157,8 @@
     let call = match path {
         "/status" => Call::Status,
         "/status/metrics" => Call::Figures,
-        "/standby" => Call::Order(Order::Standby),
-        "/active" => Call::Order(Order::Active),
+        "/standby" => Call::Standby(true),
+        "/active" => Call::Standby(false),
         _ => Call::Maintenance { member: member(path, body).await?, out: path.ends_with("/enter") },
     };
     if head.method == Method::POST {
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::Clock;
 use crate::figures::{End, Figures, Totals};
+use crate::handover::{Orders, Shared};
 use crate::input::{Arrival, Call, Input, Reply, Said};
 use crate::lifecycle::{Life, Order, Posture};
 use crate::list::{Endpoint, List};
@@ -25,6 +26,7 @@
 const BACKSTOP: Nanos = 2_000_000; // after the module's time is over; within the margin
 const RETIRE_EVERY: Nanos = 1_000_000_000; // between looks at idle connections
 const BATCH: usize = 256; // inputs taken at once
+const LOOK_EVERY: Nanos = 100_000_000; // at what another process of this node has done; well under the drain rule's
 const REPORT_EVERY: Nanos = 5_000_000_000; // between log lines on answers and attempts
 
 /// A request in the table: until it is answered and its last attempt has ended.
@@ -124,6 +126,7 @@
     Retire,
     Report,
     Life,
+    Look,
 }
 
 /// Owns the module and all that belongs to it.
@@ -146,7 +149,9 @@
     life: Life,
     posture: watch::Sender<Posture>,
     members: Vec<bool>, // by number: whether the list has the server
-    listed: bool,       // there has been a list with a server in it, or discovery has said that there is none
+    orders: Orders,
+    shared: Option<Shared>,
+    listed: bool, // there has been a list with a server in it, or discovery has said that there is none
 }
 
 impl Driver {
@@ -179,6 +184,8 @@
             life,
             posture,
             members: Vec::new(),
+            orders: Orders::default(),
+            shared: None,
             listed: false,
         }
     }
@@ -255,22 +262,107 @@
                 Said::Yes(self.figures.text(members, self.balancer.avoided(self.clock.now())))
             }
             Call::Maintenance { member, out } => self.maintenance(&member, out),
-            Call::Order(order) if self.order(order) => Said::Yes(format!("{}\n", self.life.name())),
-            Call::Order(order) => Said::Conflict(format!("{order:?}: the node ends")),
+            Call::Standby(standby) => self.stand_by(standby),
         }
     }
 
     /// Takes a server out, or puts it back. One that the list has lost may still be meant: it may come again.
     fn maintenance(&mut self, member: &str, out: bool) -> Said {
-        let Some(number) = self.names.servers.get(member) else {
+        self.look(); // or an order that the other process has written just now would be written over
+        let mut orders = self.orders.clone();
+        if self.names.servers.get(member).is_none() && !orders.out.contains(member) {
             return Said::Unknown(format!("no guide server {member:.100}"));
-        };
-        let (server, now) = (ServerId(number as u32), self.clock.now());
-        self.handle(Event::Maintenance { server, out });
-        self.mark(server, now);
+        }
+        let now = self.clock.now();
+        if out {
+            orders.back.remove(member);
+            orders.out.insert(member.to_owned());
+        } else if orders.out.remove(member) {
+            orders.back.insert(member.to_owned(), now);
+        }
+        let ramp = self.limits.ramp_time;
+        orders.back.retain(|_, &mut at| now < at.saturating_add(ramp));
+        self.adopt(orders);
+        self.publish();
         Said::Yes(format!("{member} {}\n", if out { "out" } else { "back" }))
     }
 
+    /// Shares with the other processes of this node from now on, and takes over what one before has left.
+    pub fn share(&mut self, mut shared: Shared) {
+        let left = shared.changed();
+        let companion = shared.has_companion();
+        self.shared = Some(shared);
+        if let Some(mut orders) = left {
+            info!(?orders, companion, "orders of an earlier process");
+            orders.standby &= companion; // nobody knows of a drain before a crash any more
+            self.adopt(orders);
+        }
+        self.due.push(Reverse((self.clock.now() + LOOK_EVERY, Due::Look)));
+    }
+
+    /// Looks what another process of this node has done.
+    fn look(&mut self) {
+        let Some(shared) = &mut self.shared else { return };
+        if let Err(error) = shared.look() {
+            warn!(%error, "another process of this node would not be noticed: no more looks");
+            self.shared = None;
+            return;
+        }
+        if let Some(orders) = shared.changed() {
+            info!(?orders, "orders from another process");
+            self.adopt(orders);
+        }
+    }
+
+    /// Carries out what differs from the orders so far.
+    fn adopt(&mut self, orders: Orders) {
+        let was = std::mem::replace(&mut self.orders, orders);
+        let now = self.clock.now();
+        let gone_out: Vec<String> = self.orders.out.difference(&was.out).cloned().collect();
+        let put_back = self.orders.back.iter().filter(|(name, at)| was.back.get(*name) != Some(at));
+        let put_back: Vec<String> = put_back.map(|(name, _)| name.clone()).collect();
+        for name in gone_out.iter().chain(&put_back) {
+            if let Some(number) = self.names.servers.get(name) {
+                let server = ServerId(number as u32);
+                self.maintain(server);
+                self.mark(server, now);
+            }
+        }
+        if self.orders.standby != was.standby {
+            self.order(if self.orders.standby { Order::Standby } else { Order::Active });
+        }
+    }
+
+    /// Tells the module what is ordered about a server.
+    fn maintain(&mut self, server: ServerId) {
+        let name = self.names.servers.name(server.0 as usize);
+        let out = self.orders.out.contains(name);
+        let back = self.orders.back.get(name).copied();
+        if out || back.is_some() {
+            let since = back.unwrap_or(self.clock.now());
+            self.handle(Event::Maintenance { server, out, since });
+        }
+    }
+
+    /// Lets other processes of this node know of the orders.
+    fn publish(&mut self) {
+        if let Some(shared) = &mut self.shared {
+            shared.write(&self.orders);
+        }
+    }
+
+    /// Drains, or ends that.
+    fn stand_by(&mut self, standby: bool) -> Said {
+        self.look();
+        let orders = Orders { standby, ..self.orders.clone() };
+        if !self.order(if standby { Order::Standby } else { Order::Active }) {
+            return Said::Conflict("the node ends".to_owned());
+        }
+        self.orders = orders;
+        self.publish();
+        Said::Yes(format!("{}\n", self.life.name()))
+    }
+
     /// Carries an order out, if that can still be done.
     fn order(&mut self, order: Order) -> bool {
         let done = self.life.order(self.clock.now(), order);
@@ -372,7 +464,10 @@
             since: line.since_ms.saturating_mul(1_000_000), // the module's clock is Unix time
         });
         match self.servers.get_mut(entry.id.0 as usize) {
-            None => self.servers.push(Arc::new(Server::new(line.address))),
+            None => {
+                self.servers.push(Arc::new(Server::new(line.address)));
+                self.maintain(entry.id); // it may have been ordered before the list had it
+            }
             Some(server) if server.address != line.address => {
                 *server = Arc::new(Server::new(line.address));
                 self.pool.close(entry.id);
@@ -400,6 +495,12 @@
                     self.due.push(Reverse((now + REPORT_EVERY, Due::Report)));
                 }
                 Due::Life => self.live(),
+                Due::Look => {
+                    self.look();
+                    if self.shared.is_some() {
+                        self.due.push(Reverse((now + LOOK_EVERY, Due::Look)));
+                    }
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/node/src/handover.rs
@@ -0,0 +1,276 @@
+//! What two processes of one node share while one takes over from the other: what operators have ordered, and
+//! whether the other lives. Files under `$TMPDIR`; whatever fails there is logged, and the node serves without.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs::{self, File, OpenOptions, TryLockError};
+use std::hash::Hasher;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::time::SystemTime;
+
+use merlinfold_decide::interface::Nanos;
+use serde::{Deserialize, Serialize};
+use tracing::{info, warn};
+
+const FORM: &str = "merlinfold-orders";
+const VERSION: u32 = 1;
+const ORDERS_MOST: u64 = 4 << 20; // bytes: the names of far more servers than a node has
+
+/// What operators have ordered and not taken back.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Orders {
+    /// Servers taken out, by name.
+    pub out: BTreeSet<String>,
+    /// Servers put back, and when, in Unix time: they are cold from then on.
+    pub back: BTreeMap<String, Nanos>,
+    /// The node is drained.
+    pub standby: bool,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Kept {
+    node: String,
+    orders: Orders,
+}
+
+fn checksum(text: &str) -> u64 {
+    let mut hasher = fnv::FnvHasher::default();
+    hasher.write(text.as_bytes());
+    hasher.finish()
+}
+
+/// The orders as they stand in the file: form, version and checksum on the first line, then JSON.
+fn encode(node: &str, orders: &Orders) -> Result<String, String> {
+    let kept = Kept { node: node.to_owned(), orders: orders.clone() };
+    let body = serde_json::to_string(&kept).map_err(|error| error.to_string())?;
+    Ok(format!("{FORM} {VERSION} {:016x}\n{body}", checksum(&body)))
+}
+
+/// Reads them back; the error says why they are of no use.
+fn decode(node: &str, text: &str) -> Result<Orders, String> {
+    let (head, body) = text.split_once('\n').ok_or("no first line")?;
+    let mut head = head.split(' ');
+    if head.next() != Some(FORM) {
+        return Err("not orders of a node".to_owned());
+    }
+    match head.next().map(str::parse) {
+        Some(Ok(VERSION)) => {}
+        other => return Err(format!("version {other:?}, {VERSION} is known")),
+    }
+    if head.next().and_then(|sum| u64::from_str_radix(sum, 16).ok()) != Some(checksum(body)) {
+        return Err("torn: the checksum differs".to_owned());
+    }
+    let kept: Kept = serde_json::from_str(body).map_err(|error| error.to_string())?;
+    if kept.node != node {
+        return Err(format!("of another node, {:?}", kept.node));
+    }
+    Ok(kept.orders)
+}
+
+/// A file that one process holds locked for as long as it lives.
+struct Place {
+    path: PathBuf,
+    held: Option<File>,
+}
+
+impl Place {
+    /// Takes the place if nobody holds it; whether this process has it then.
+    fn take(&mut self) -> io::Result<bool> {
+        if self.held.is_none() {
+            let file = OpenOptions::new().create(true).truncate(false).write(true).open(&self.path)?;
+            match file.try_lock() {
+                Ok(()) => self.held = Some(file),
+                Err(TryLockError::WouldBlock) => {}
+                Err(TryLockError::Error(error)) => return Err(error),
+            }
+        }
+        Ok(self.held.is_some())
+    }
+
+    /// Whether another process holds it.
+    fn is_taken(&mut self) -> io::Result<bool> {
+        let had = self.held.is_some();
+        let free = self.take()?;
+        if !had {
+            self.held = None;
+        }
+        Ok(!free)
+    }
+}
+
+/// When the file of orders was last written, as far as the file system tells.
+type Stamp = (SystemTime, u64);
+
+/// This process's part in what is shared.
+pub struct Shared {
+    node: String,
+    orders: PathBuf,
+    stamp: Option<Stamp>,
+    first: Place,
+    second: Place,
+    companion: bool,
+}
+
+impl Shared {
+    /// Opens what is shared under this folder. The error says what cannot be had; a node serves without.
+    pub fn open(folder: &Path, node: &str) -> Result<Self, String> {
+        // A name may hold what a file name must not.
+        let stem = format!("merlinfold-{:016x}", checksum(node));
+        let place = |ending: &str| Place { path: folder.join(format!("{stem}.{ending}")), held: None };
+        let orders = folder.join(format!("{stem}.orders"));
+        let (first, second) = (place("first"), place("second"));
+        let mut shared =
+            Shared { node: node.to_owned(), orders, stamp: None, first, second, companion: false };
+        shared.look().map_err(|error| format!("{}: {error}", folder.display()))?;
+        Ok(shared)
+    }
+
+    /// Whether another process of this node lives, as of the last look.
+    pub fn has_companion(&self) -> bool {
+        self.companion
+    }
+
+    /// Whether this process came before the other one.
+    pub fn is_first(&self) -> bool {
+        self.first.held.is_some()
+    }
+
+    /// Looks whether another process lives.
+    pub fn look(&mut self) -> io::Result<()> {
+        let was = self.companion;
+        if self.first.take()? {
+            self.second.held = None; // the predecessor, if there was one, is gone
+            self.companion = self.second.is_taken()?;
+        } else {
+            self.second.take()?; // a third process waits for either place
+            self.companion = true;
+        }
+        if was != self.companion {
+            let first = self.is_first();
+            info!(companion = self.companion, first, "another process of this node");
+        }
+        Ok(())
+    }
+
+    /// The orders, if they were written since this process last read or wrote them.
+    pub fn changed(&mut self) -> Option<Orders> {
+        let stamp = self.look_at_orders();
+        if stamp.is_none() || stamp == self.stamp {
+            return None;
+        }
+        self.stamp = stamp;
+        let read = match stamp {
+            Some((_, length)) if length > ORDERS_MOST => Err(format!("over {ORDERS_MOST} bytes")),
+            _ => fs::read_to_string(&self.orders).map_err(|error| error.to_string()),
+        };
+        match read.and_then(|text| decode(&self.node, &text)) {
+            Ok(orders) => Some(orders),
+            Err(fault) => {
+                warn!(file = %self.orders.display(), fault, "orders ignored");
+                None
+            }
+        }
+    }
+
+    /// Writes the orders in place of those before; a reader gets either.
+    pub fn write(&mut self, orders: &Orders) {
+        let new = self.orders.with_extension(if self.is_first() { "new-first" } else { "new-second" });
+        let written = encode(&self.node, orders).and_then(|text| {
+            let write = fs::write(&new, text).and_then(|()| fs::rename(&new, &self.orders));
+            write.map_err(|error| error.to_string())
+        });
+        match written {
+            Ok(()) => self.stamp = self.look_at_orders(),
+            Err(fault) => {
+                warn!(file = %self.orders.display(), fault, "orders not written: no successor has them")
+            }
+        }
+    }
+
+    fn look_at_orders(&self) -> Option<Stamp> {
+        let found = fs::metadata(&self.orders).ok()?;
+        Some((found.modified().ok()?, found.len()))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn orders() -> Orders {
+        let out = BTreeSet::from(["s-1".to_owned(), "s \"2\"\n".to_owned()]);
+        Orders { out, back: BTreeMap::from([("s-3".to_owned(), 7)]), standby: true }
+    }
+
+    /// A folder of its own for a test, gone with it.
+    struct Folder(PathBuf);
+
+    impl Folder {
+        fn new(name: &str) -> Self {
+            let path = std::env::temp_dir().join(format!("merlinfold-test-{}-{name}", std::process::id()));
+            fs::create_dir_all(&path).unwrap();
+            Folder(path)
+        }
+    }
+
+    impl Drop for Folder {
+        fn drop(&mut self) {
+            let _ = fs::remove_dir_all(&self.0);
+        }
+    }
+
+    #[test]
+    fn orders_come_back_as_they_were_and_only_to_their_node() {
+        let text = encode("n0", &orders()).unwrap();
+        assert_eq!(decode("n0", &text), Ok(orders()));
+        assert!(decode("n1", &text).unwrap_err().contains("n0"));
+        let later = text.replacen(" 1 ", " 2 ", 1);
+        assert!(decode("n0", &later).unwrap_err().contains("version"));
+    }
+
+    proptest! {
+        /// Whatever is lost or changed in the file, nobody takes it for orders.
+        #[test]
+        fn torn_orders_are_no_orders(at in any::<prop::sample::Index>(), cut in any::<bool>(), byte in 32u8..127) {
+            let text = encode("n0", &orders()).unwrap();
+            let mut bytes = text.clone().into_bytes();
+            let at = at.index(bytes.len());
+            if cut { bytes.truncate(at) } else { bytes[at] = byte }
+            let torn = String::from_utf8(bytes).unwrap();
+            prop_assert!(torn == text || decode("n0", &torn).is_err_and(|fault| !fault.is_empty()));
+        }
+    }
+
+    /// Locks belong to open files, so two of this process are as good as two processes.
+    #[test]
+    fn each_knows_of_the_other_until_one_ends() {
+        let folder = Folder::new("places");
+        let mut old = Shared::open(&folder.0, "n0").unwrap();
+        assert!(old.is_first() && !old.has_companion());
+        let mut new = Shared::open(&folder.0, "n0").unwrap();
+        assert!(!new.is_first() && new.has_companion());
+        old.look().unwrap();
+        assert!(old.has_companion());
+        let other = Shared::open(&folder.0, "n1").unwrap();
+        assert!(!other.has_companion(), "another node's process is none of ours");
+        drop(old);
+        new.look().unwrap();
+        assert!(new.is_first() && !new.has_companion());
+        let third = Shared::open(&folder.0, "n0").unwrap();
+        drop(new);
+        assert!(third.has_companion(), "as of its last look");
+    }
+
+    #[test]
+    fn orders_reach_the_other_once_and_not_their_writer() {
+        let folder = Folder::new("orders");
+        let (mut old, mut new) =
+            (Shared::open(&folder.0, "n0").unwrap(), Shared::open(&folder.0, "n0").unwrap());
+        assert_eq!(new.changed(), None);
+        old.write(&orders());
+        assert_eq!((new.changed(), new.changed(), old.changed()), (Some(orders()), None, None));
+        fs::write(&new.orders, "nonsense").unwrap();
+        assert_eq!(new.changed(), None);
+    }
+}
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -5,7 +5,6 @@
 use merlinfold_decide::interface::{Nanos, RequestId};
 use tokio::sync::oneshot;
 
-use crate::lifecycle::Order;
 use crate::list::List;
 use crate::upstream::{Answer, Ended, Outgoing};
 
@@ -42,8 +41,8 @@
     Figures,
     /// Takes a server out, or puts it back.
     Maintenance { member: String, out: bool },
-    /// Changes the node's life.
-    Order(Order),
+    /// Drains the node, or ends that.
+    Standby(bool),
 }
 
 /// What they are told.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod driver;
 mod figures;
 mod front;
+mod handover;
 pub mod head;
 mod input;
 mod lifecycle;
@@ -17,12 +18,13 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 
 use serde::Deserialize;
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::sync::{mpsc, watch};
-use tracing::info;
+use tracing::{info, warn};
 
 use crate::clock::Clock;
 use merlinfold_decide::interface::{Discovery, Settings};
@@ -120,7 +122,9 @@
 
 impl Node {
     /// Checks the configuration and opens the sockets.
-    pub async fn bind(config: Config) -> Result<Self, String> {
+    ///
+    /// `folder` is what all processes of this node have in common; without it each is alone.
+    pub async fn bind(config: Config, folder: Option<&Path>) -> Result<Self, String> {
         let (mut names, clock) = (Names::default(), Clock::new());
         let (host, settings, seed) = config.check(&mut names)?;
         // What neither part takes is room for connections that are closing.
@@ -147,6 +151,12 @@
             driver::Driver::new(balancer, names.clone(), clock, host, pool, sender.clone(), watch);
         let front = front::Front::new(&settings, &names, clock, sender, clients, driver.posture());
         driver.tell_through(peers.as_ref());
+        // Before the list: no request may go to a server that is out, nor may one be taken in standby.
+        match folder.map(|folder| handover::Shared::open(folder, &config.name)) {
+            Some(Ok(shared)) => driver.share(shared),
+            Some(Err(error)) => warn!(error, "nothing is shared with another process of this node"),
+            None => {}
+        }
         driver.known(config.known.unwrap_or_default());
         Ok(Node { listener, front, driver, console, inputs, peers, discovery, moves, name: config.name })
     }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -2,6 +2,7 @@
 //! all is answered.
 
 use std::net::SocketAddr;
+use std::path::Path;
 
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tracing::warn;
@@ -21,7 +22,10 @@
     runtime.map_err(|error| format!("runtime: {error}"))?.block_on(async {
         let mut terminated = signal(SignalKind::terminate()).map_err(|error| format!("SIGTERM: {error}"))?;
         let hangup = signal(SignalKind::hangup()).map_err(|error| format!("SIGHUP: {error}"))?;
-        let node = Node::bind(config).await.map_err(|fault| format!("configuration: {fault}"))?;
+        let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty());
+        let node = Node::bind(config, folder.as_ref().map(Path::new))
+            .await
+            .map_err(|fault| format!("configuration: {fault}"))?;
         let stop = async move {
             terminated.recv().await;
         };
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -118,6 +118,8 @@
     pub drain_grace: Nanos,
     /// The longest time that a client waits for an answer.
     pub longest_deadline: Nanos,
+    /// After which a server that has started is warm.
+    pub ramp_time: Nanos,
 }
 
 impl Env {
@@ -212,6 +214,7 @@
             idle_timeout: need(self.limits.conn_idle, "Limits.ConnIdle")?,
             open_requests: self.limits.open_cap.unwrap_or(usize::MAX),
             drain_grace: self.obligations.stop_sending_within,
+            ramp_time: self.obligations.ramp_time,
             longest_deadline: self.categories.iter().map(|category| category.give_up).max().unwrap_or(0),
         })
     }
