Give slow clients their 2 s from a head's first byte, and pieces of a body theirs

Cause: hyper's timer for a head runs from the last answer on, so a client that idled had less than its 2 s; and a body's next piece was due 0.7 s after the head.

A state machine per connection tells what is due: 2.1 s idle, 2.25 s for a head from its first byte, 2 s for the next piece of a body, all of a first request within 2.85 s, 15 s when nothing moves in the middle of a message.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -27,23 +27,24 @@
 use crate::head::Asked;
 use crate::input::{Arrival, Input, Reply};
 use crate::lifecycle::Posture;
-use crate::stream::{Counted, Shared};
+use crate::line::{Line, Why};
+use crate::stream::{Heard, Shared};
 use crate::upstream::{AnswerBody, Outgoing, Payload};
 use merlinfold_decide::interface::{Nanos, RequestId, Settings};
 use merlinfold_settings::{Names, Numbering};
 
-/// For a whole head, from the connection's start or the last answer. Whoever sends no proper request is owed
-/// a close within 3 s of connecting, and a connection without an open request may be closed after 2 s.
-const HEAD_TIMEOUT: Duration = Duration::from_millis(2_100);
-const BODY_TIMEOUT: Duration = Duration::from_millis(700); // for a body's next bytes, so that both fit in the 3 s
+/// For the first byte on a connection that comes to a node which takes no new ones: nothing may stay open there.
+const IDLE_LEAVING: Nanos = 500_000_000;
+/// From a head on, for a body's next bytes: clients send in pieces, with seconds between them.
+const BODY_TIMEOUT: Duration = Duration::from_secs(2);
+/// From connecting on, for all of a first request that does not move: its peer is owed an error within 3 s.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(2_850);
+const FIRST_BODY_TIMEOUT: Duration = Duration::from_millis(600); // the least that a slow head leaves its body
 const BODY_RATE: f64 = 48_000.0; // bytes a second that a body comes with at least: clients may take 64 kB/s
-const STILL: Duration = Duration::from_secs(15); // without a byte either way, whoever is to blame
 const LINGER: Duration = Duration::from_secs(1); // for a client that still sends what nobody reads any more
 const HEAD_MOST: usize = 16 << 10; // bytes buffered of a request: all slots together must fit in memory
 const SPARE: usize = 32; // connections short of the most at which they are closed after their answer
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10); // after a failed accept, so as not to spin
-/// For a head on a connection that comes to a node which takes no new ones: nothing may stay open there.
-const HEAD_TIMEOUT_LEAVING: Duration = Duration::from_millis(500);
 const SETTLE: Duration = Duration::from_millis(20); // until a connection is sure to have been looked at
 
 const REPORT_EVERY: Duration = Duration::from_secs(5); // between log lines on the clients' connections
@@ -206,51 +207,67 @@
         &self, stream: impl AsyncRead + AsyncWrite + Unpin, unread: &AtomicBool,
         mut closing: watch::Receiver<bool>,
     ) {
-        let (stream, moved) = Counted::new(stream);
-        let still = async {
-            let mut before = None;
-            while before != Some(moved.load(Ordering::Relaxed)) {
-                before = Some(moved.load(Ordering::Relaxed));
-                sleep(STILL).await;
-            }
-        };
-        tokio::pin!(still);
-        let service = service_fn(|request| self.answer(request, unread));
         let mut posture = self.posture.clone();
         let Posture { keeps, retired, .. } = *posture.borrow_and_update();
+        let longest = self.deadlines.iter().copied().max().unwrap_or(0);
+        let line = Arc::new(Line::new(Some(IDLE_LEAVING).filter(|_| !keeps), longest));
+        let origin = Instant::now();
+        let now = move || origin.elapsed().as_nanos() as Nanos;
+        let due = async {
+            loop {
+                let (at, why) = line.due();
+                match at.checked_sub(now()) {
+                    None | Some(0) => return why,
+                    Some(left) => sleep(Duration::from_nanos(left.min(line.step()))).await,
+                }
+            }
+        };
+        tokio::pin!(due);
+        let service = service_fn(|request| {
+            let first = line.begin().then_some(origin);
+            let under_way = UnderWay { line: line.clone(), origin };
+            self.answer(request, unread, under_way, first)
+        });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .keep_alive(keeps)
-            .header_read_timeout(if keeps { HEAD_TIMEOUT } else { HEAD_TIMEOUT_LEAVING })
+            .header_read_timeout(None)
             .max_buf_size(HEAD_MOST)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(Heard::new(stream, line.clone(), origin)), service);
         tokio::pin!(connection);
         tokio::select! {
             biased;
             ended = connection.as_mut() => return self.ended(ended),
             _ = closing.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
             _ = posture.wait_for(|now| now.retired > retired) => connection.as_mut().graceful_shutdown(),
-            () = still.as_mut() => return count(&self.tally.still),
+            why = due.as_mut() => return self.cut(why),
         }
         tokio::select! {
             _ = connection => {} // how it ends shows at the request on it
-            () = still => count(&self.tally.still),
+            why = due => self.cut(why),
         }
     }
 
+    /// Counts a connection that is closed in the middle of something.
+    fn cut(&self, why: Why) {
+        count(match why {
+            Why::Silent => &self.tally.silent,
+            Why::Still => &self.tally.still,
+        });
+    }
+
     /// Counts an end that is the peer's fault; all others show at the request on the connection.
     fn ended(&self, ended: hyper::Result<()>) {
         match ended {
-            Err(error) if error.is_timeout() => count(&self.tally.silent),
             Err(error) if error.is_parse() || error.is_incomplete_message() => count(&self.tally.malformed),
             _ => {}
         }
     }
 
     async fn answer(
-        &self, request: Request<Incoming>, unread: &AtomicBool,
-    ) -> Result<Response<Outgo>, Infallible> {
-        let answered = self.respond(request, unread).await;
+        &self, request: Request<Incoming>, unread: &AtomicBool, under_way: UnderWay, first: Option<Instant>,
+    ) -> Result<Response<Lasting>, Infallible> {
+        let answered = self.respond(request, unread, &under_way.line, first).await;
         // Who sends no proper request is not given another try at the cost of a client's slot.
         let improper = answered.is_err();
         let mut response = match answered {
@@ -266,11 +283,11 @@
         if improper || !self.posture.borrow().keeps || self.slots.available_permits() < SPARE {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        Ok(response)
+        Ok(response.map(|body| Lasting { body, _under_way: under_way }))
     }
 
     async fn respond(
-        &self, request: Request<Incoming>, unread: &AtomicBool,
+        &self, request: Request<Incoming>, unread: &AtomicBool, line: &Line, first: Option<Instant>,
     ) -> Result<Response<Outgo>, StatusCode> {
         let arrived = self.pulse.arrival(self.clock.now());
         let (head, mut body) = request.into_parts();
@@ -279,6 +296,7 @@
             if !self.posture.borrow().ready {
                 *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             }
+            line.read();
             return Ok(response);
         }
         let asked = Asked::read(&head.uri, &head.headers);
@@ -290,13 +308,17 @@
         let tenant = asked.tenant.and_then(|name| self.tenants.get(name));
         let bodiless = body.is_end_stream();
         let begun = Instant::now();
-        let next = |came: usize| {
-            (begun + BODY_TIMEOUT + Duration::from_secs_f64(came as f64 / BODY_RATE), Waited::TooLong)
+        let patient = match first {
+            Some(connected) => (connected + FIRST_TIMEOUT).max(begun + FIRST_BODY_TIMEOUT),
+            None => begun + BODY_TIMEOUT,
         };
+        let next =
+            |came: usize| (patient + Duration::from_secs_f64(came as f64 / BODY_RATE), Waited::TooLong);
         let gathered = gather(&mut body, &self.budget, next).await.map_err(|broken| match broken {
             Broken::Late => StatusCode::REQUEST_TIMEOUT,
             Broken::Off => StatusCode::BAD_REQUEST,
         })?;
+        line.read();
         // Its time counts from its last byte; that of a long one, which is still to come, from when it does.
         let arrived = if bodiless { arrived } else { self.pulse.arrival(self.clock.now()) };
         let deadline = self.deadlines[class];
@@ -344,52 +366,70 @@
     }
 }
 
-/// An answer's body.
-enum Outgo {
-    Held { body: Full<Bytes>, _held: Held },
-    Long(Box<Relay>),
+/// A request from its head to the end of its answer.
+struct UnderWay {
+    line: Arc<Line>,
+    origin: Instant,
 }
 
-impl Outgo {
-    fn nothing() -> Self {
-        Outgo::from(Held::small(Bytes::new()))
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.line.free(self.origin.elapsed().as_nanos() as Nanos);
     }
 }
 
-impl From<Held> for Outgo {
-    fn from(held: Held) -> Self {
-        Outgo::Held { body: Full::new(held.bytes.clone()), _held: held }
-    }
+/// An answer's body, while which its request is under way.
+struct Lasting {
+    body: Outgo,
+    _under_way: UnderWay,
 }
 
-impl Body for Outgo {
+impl Body for Lasting {
     type Data = Bytes;
     type Error = hyper::Error;
 
     fn poll_frame(
-        self: Pin<&mut Self>, cx: &mut Context,
+        mut self: Pin<&mut Self>, cx: &mut Context,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        match self.get_mut() {
+        match &mut self.body {
             Outgo::Held { body, .. } => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
             Outgo::Long(relay) => Pin::new(relay).poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
+        match &self.body {
             Outgo::Held { body, .. } => body.is_end_stream(),
             Outgo::Long(relay) => relay.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
+        match &self.body {
             Outgo::Held { body, .. } => body.size_hint(),
             Outgo::Long(relay) => relay.size_hint(),
         }
     }
 }
 
+/// What is in it.
+enum Outgo {
+    Held { body: Full<Bytes>, _held: Held },
+    Long(Box<Relay>),
+}
+
+impl Outgo {
+    fn nothing() -> Self {
+        Outgo::from(Held::small(Bytes::new()))
+    }
+}
+
+impl From<Held> for Outgo {
+    fn from(held: Held) -> Self {
+        Outgo::Held { body: Full::new(held.bytes.clone()), _held: held }
+    }
+}
+
 /// Notices that the node was held up: what it finds then may have come at any time since.
 struct Pulse {
     beat: AtomicU64,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod head;
 mod input;
 mod lifecycle;
+mod line;
 mod list;
 mod peers;
 pub mod process;
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -1,15 +1,18 @@
-//! A TCP stream that others may look at while hyper holds it, and that counts what moves on it.
+//! A TCP stream that others may look at while hyper holds it, and one that tells what moves on it.
 
 use std::io::{self, IoSlice};
 use std::net::Shutdown;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 
+use merlinfold_decide::interface::Nanos;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::line::Line;
 
 /// One of several holders; the stream closes with the last.
 pub struct Shared(pub Arc<TcpStream>);
@@ -62,47 +65,51 @@
     }
 }
 
-/// Counts the bytes that move on a stream, either way.
-pub struct Counted<S> {
+/// Tells a connection's [`Line`] what moves on its stream.
+pub struct Heard<S> {
     stream: S,
-    moved: Arc<AtomicU64>,
+    line: Arc<Line>,
+    origin: Instant,
 }
 
-impl<S> Counted<S> {
-    /// The stream and its count.
-    pub fn new(stream: S) -> (Self, Arc<AtomicU64>) {
-        let moved = Arc::new(AtomicU64::new(0));
-        (Counted { stream, moved: moved.clone() }, moved)
+impl<S> Heard<S> {
+    /// `origin` is when the connection was accepted.
+    pub fn new(stream: S, line: Arc<Line>, origin: Instant) -> Self {
+        Heard { stream, line, origin }
     }
 
-    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(bytes)) = &written {
-            self.moved.fetch_add(*bytes as u64, Ordering::Relaxed);
-        }
+    fn now(&self) -> Nanos {
+        self.origin.elapsed().as_nanos() as Nanos
+    }
+
+    fn note(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.line.wrote(self.now(), written.is_ready());
         written
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
+impl<S: AsyncRead + Unpin> AsyncRead for Heard<S> {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buffer: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        self.moved.fetch_add((buffer.filled().len() - before) as u64, Ordering::Relaxed);
+        if buffer.filled().len() > before {
+            self.line.heard(self.now());
+        }
         read
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for Counted<S> {
+impl<S: AsyncWrite + Unpin> AsyncWrite for Heard<S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
-        self.count(written)
+        self.note(written)
     }
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>, cx: &mut Context, slices: &[IoSlice],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
-        self.count(written)
+        self.note(written)
     }
 
     fn is_write_vectored(&self) -> bool {
