Let the server of a test say that it closes, or its next request may meet the end

Seen under load: a_slow_reader_holds_its_server_back_and_leaves_the_others_alone got no answer of its server's. It closed after each answer unannounced, and a request sent before the close is seen ends as a reset, with one attempt allowed.

--- a/crates/cli/tests/bodies.rs
+++ b/crates/cli/tests/bodies.rs
@@ -144,7 +144,9 @@
             let (mut stream, tell) = (stream.unwrap(), tell.clone());
             thread::spawn(move || {
                 if head(&mut stream).contains("short") {
-                    return stream.write_all(b"HTTP/1.1 200 x\r\nContent-Length: 1\r\n\r\nx").unwrap();
+                    return stream
+                        .write_all(b"HTTP/1.1 200 x\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx")
+                        .unwrap();
                 }
                 let piece = pattern(1 << 16);
                 write!(stream, "HTTP/1.1 200 x\r\nContent-Length: {}\r\n\r\n", 1usize << 30).unwrap();
