--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,7 +36,7 @@
 
 const BACKLOG: u32 = 1024; // connections that the kernel holds until they are accepted
 const CLIENTS_PART: usize = 3; // one descriptor in so many may be held by clients
-const MEMORY_LEAST: usize = 32; // MB; taken where the configuration does not say
+const MEMORY_LEAST: f64 = 32.0; // MB; taken where the configuration does not say
 const BODIES_PART: usize = 4; // one byte of memory in so many may be held as bodies
 const SOCKETS_LEAST: usize = 64; // descriptors below which no useful node fits
 const OTHER_SOCKETS: usize = 16 + console::CALLERS_MOST; // listeners, peers, discovery, runtime, log, callers
@@ -62,7 +62,7 @@
 #[derive(Debug, Deserialize)]
 struct Limits {
     sockets: usize,
-    memory_mb: Option<usize>,
+    memory_mb: Option<f64>,
 }
 
 impl Config {
@@ -152,7 +152,7 @@
         let (moves, address) = watch::channel(config.discovery);
         let (discovery, watch) = discovery::Watcher::new(address, sender.clone(), asks);
         let pool = upstream::Pool::new(half, host, clock);
-        let memory = config.limits.memory_mb.unwrap_or(MEMORY_LEAST).saturating_mul(1 << 20);
+        let memory = (config.limits.memory_mb.unwrap_or(MEMORY_LEAST) * f64::from(1 << 20)) as usize; // saturates
         let budget = body::Budget::new(memory / BODIES_PART);
         let room = (pool, budget.clone());
         let balancer = Balancer::new(settings.clone(), seed);
--- a/crates/node/tests/fuzz.rs
+++ b/crates/node/tests/fuzz.rs
@@ -79,3 +79,13 @@
         }
     }
 }
+
+/// Guards the start: a limit is a number, however it is written.
+#[test]
+fn a_limit_of_memory_may_have_a_point_or_be_absent() {
+    for memory in [json!(48), json!(48.0), json!(0.5), Value::Null] {
+        let mut config = valid();
+        config["limits"]["memory_mb"] = memory.clone();
+        assert_eq!(Config::validate(&config.to_string()), Ok(()), "{memory}");
+    }
+}
