Keep two processes of a node within the descriptors and held bodies of one

Need: while one process takes over from another each held up to the whole limit, though they count together. Seen with 192 descriptors, an old process full of hanging requests and clients that press on: 301 in use.

Change: Room hands out slots whose number may change. Beside another a process has half; the first writes at each look what it still keeps, the second takes what is left and listens for clients when that is its half, or after 1 s. A third process waits for a place. What a node alone may hold stays as it was from 192 descriptors on.

--- a/crates/cli/tests/upgrade.rs
+++ b/crates/cli/tests/upgrade.rs
@@ -2,10 +2,14 @@
 
 mod common;
 
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use common::*;
 use serde_json::json;
@@ -101,3 +105,83 @@
     }
     newest.wait_for("members_unavailable", 1);
 }
+
+/// A node as a process of its own, ended with the test.
+struct Program(Child, SocketAddr);
+
+impl Program {
+    fn start(folder: &Path, name: &str, config: &serde_json::Value) -> Self {
+        let path = folder.join(name);
+        std::fs::write(&path, config.to_string()).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_merlinfold"));
+        command.env("BALANCER_CONFIG", &path).env("TMPDIR", folder).stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        let lines = BufReader::new(child.stderr.take().unwrap());
+        let mut lines = lines.lines().map_while(Result::ok);
+        let serving = lines.find(|line| line.contains("serving")).expect("it serves");
+        thread::spawn(move || lines.for_each(drop)); // a full pipe would hold it up
+        let address = serving.rsplit("address=").next().unwrap().trim().parse().unwrap();
+        Program(child, address)
+    }
+
+    fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.0.id())).unwrap().count()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Guards the platform's limit, which counts for both processes of a node together: the old one is as full of
+/// requests that take long as it can be when the new one comes, and clients press at both.
+#[test]
+fn two_full_processes_stay_within_the_limit_of_one() {
+    const SOCKETS: usize = 192;
+    const SERVERS: usize = 32;
+    let names: Vec<String> = (0..SERVERS).map(|n| format!("s{n}")).collect();
+    let servers: Vec<Server> = names.iter().map(|_| Server::start(|_| Then::Hang)).collect();
+    let known: Vec<_> = names.iter().zip(&servers).map(|(name, s)| (name.as_str(), s.address)).collect();
+    let (_told, discovery) = Discovery::start(&known);
+    let folder = Folder::new("full");
+    let mut config = config(discovery.address, &known);
+    config["limits"]["sockets"] = json!(SOCKETS);
+    let old = Program::start(&folder.0, "old.json", &config);
+    let mut clients = std::collections::VecDeque::new();
+    let mut ask = |count| {
+        for _ in 0..count {
+            let mut client = Client::connect(old.1);
+            client.send(request("read", "X-Remaining-Ms: 1500\r\n", "ping").as_bytes());
+            clients.push_back(client);
+        }
+        while clients.len() > 2 * SOCKETS {
+            clients.pop_front(); // gives up, as clients do
+        }
+    };
+    ask(SOCKETS / 3);
+    let begun = Instant::now();
+    while old.descriptors() < SOCKETS / 2 {
+        assert!(begun.elapsed() < PATIENCE, "the old one never filled: {}", old.descriptors());
+    }
+    config["listen"] = json!(old.1);
+    let console = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    config["console"] = json!(console);
+    let new = Program::start(&folder.0, "new.json", &config);
+    let (mut most, mut served) = (0, 0);
+    // Until the new one has taken clients, and a while more.
+    let mut end = Instant::now() + PATIENCE;
+    while Instant::now() < end {
+        most = most.max(old.descriptors() + new.descriptors());
+        if new.descriptors() > SOCKETS / 6 && served == 0 {
+            served = new.descriptors();
+            end = Instant::now() + Duration::from_secs(2);
+        }
+        ask(2);
+        thread::sleep(Duration::from_millis(5));
+    }
+    assert!(served > 0, "the new one never took its part: {most}");
+    assert!(most <= SOCKETS, "{most} of {SOCKETS} descriptors in use");
+}
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -15,40 +15,35 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use merlinfold_decide::interface::{Nanos, RequestId};
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{Notify, OwnedSemaphorePermit};
 use tokio::time::{sleep, timeout_at, Instant, Sleep};
 
 use crate::clock::Clock;
 use crate::figures::End;
 use crate::input::Input;
+use crate::room::{Slots, UNIT};
 use crate::upstream::Connection;
 
 /// Bytes of a body up to which it may be held, either way.
 pub const HELD_MOST: usize = 64 << 10;
 const FREE: usize = 8 << 10; // bytes of a body that are held without asking: as many as a connection buffers
-const UNIT: usize = 1 << 10; // bytes that one permit of the budget stands for
 const STALLED: Duration = Duration::from_secs(2); // without a byte of a body that its client owes
 
 /// What all bodies that are held may take together.
 #[derive(Clone)]
-pub struct Budget(Arc<Semaphore>);
+pub struct Budget(pub Arc<Slots>);
 
 /// The part of the budget that one body has; none for a small one.
 pub type Share = Option<OwnedSemaphorePermit>;
 
 impl Budget {
-    /// That many bytes.
-    pub fn new(bytes: usize) -> Self {
-        Budget(Arc::new(Semaphore::new((bytes / UNIT).min(Semaphore::MAX_PERMITS))))
-    }
-
     /// Room for a body of this size; none if there is not so much left.
     fn room(&self, bytes: usize) -> Option<Share> {
         if bytes <= FREE {
             return Some(None);
         }
         let units = bytes.div_ceil(UNIT) as u32; // a held body has 64 of them at most
-        self.0.clone().try_acquire_many_owned(units).ok().map(Some)
+        self.0.try_take(units).map(Some)
     }
 }
 
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -18,6 +18,7 @@
 use crate::lifecycle::{Life, Order, Posture};
 use crate::list::{Endpoint, List};
 use crate::peers::Peers;
+use crate::room::Room;
 use crate::upstream::{Answer, AnswerBody, Attempt, Ended, Outgoing, Pool, Server};
 use merlinfold_decide::interface::*;
 use merlinfold_decide::policy::Balancer;
@@ -156,7 +157,7 @@
     clock: Clock,
     limits: HostLimits,
     pool: Pool,
-    budget: Budget,
+    room: Room,
     inputs: UnboundedSender<Input>,
     watch: Arc<Notify>,
     peers: Option<Peers>,
@@ -177,7 +178,7 @@
 
 impl Driver {
     pub fn new(
-        balancer: Balancer, names: Names, clock: Clock, limits: HostLimits, room: (Pool, Budget),
+        balancer: Balancer, names: Names, clock: Clock, limits: HostLimits, room: Room,
         inputs: UnboundedSender<Input>, watch: Arc<Notify>,
     ) -> Self {
         let life = Life::new(limits.longest_deadline);
@@ -188,8 +189,8 @@
             names,
             clock,
             limits,
-            pool: room.0,
-            budget: room.1,
+            pool: Pool::new(room.servers.clone(), limits, clock),
+            room,
             inputs,
             watch,
             peers: None,
@@ -289,6 +290,9 @@
 
     fn call(&mut self, call: Call) -> Said {
         match call {
+            Call::Status if !self.life.posture().opens => {
+                Said::NotNow("the predecessor makes room".to_owned())
+            }
             Call::Status if self.listed => Said::Yes(format!("{}\n", self.life.name())),
             Call::Status => Said::NotNow("no server list yet".to_owned()),
             Call::Figures => {
@@ -325,6 +329,11 @@
     pub fn share(&mut self, mut shared: Shared) {
         let left = shared.changed();
         let companion = shared.has_companion();
+        self.room.resize(companion);
+        if companion {
+            self.life.wait(self.clock.now());
+            self.live();
+        }
         self.shared = Some(shared);
         if let Some(mut orders) = left {
             info!(?orders, companion, "orders of an earlier process");
@@ -337,15 +346,36 @@
     /// Looks what another process of this node has done.
     fn look(&mut self) {
         let Some(shared) = &mut self.shared else { return };
+        let had = shared.has_companion();
         if let Err(error) = shared.look() {
             warn!(%error, "another process of this node would not be noticed: no more looks");
             self.shared = None;
             return;
         }
+        let has = shared.has_companion();
+        if has != had {
+            self.room.resize(has);
+        }
+        if !self.room.settle() {
+            self.pool.shed();
+            self.life.retire(); // a client that asks again is served by the other process
+        }
+        if !has {
+            self.life.open();
+        } else if shared.is_first() {
+            if let Err(error) = shared.keep(self.room.kept()) {
+                warn!(%error, "a successor does not hear how much room there is");
+            }
+        } else if !shared.has_place() {
+            self.life.wait(self.clock.now()); // a third process, for which there is no room
+        } else if shared.kept().is_some_and(|kept| self.room.fit(kept)) {
+            self.life.open();
+        }
         if let Some(orders) = shared.changed() {
             info!(?orders, "orders from another process");
             self.adopt(orders);
         }
+        self.live();
     }
 
     /// Carries out what differs from the orders so far.
@@ -622,7 +652,7 @@
                 request: open.outgoing.clone(),
                 expires: now.saturating_add(wait).min(open.deadline),
                 started: now,
-                budget: self.budget.clone(),
+                budget: Budget(self.room.bodies.clone()),
                 connect_timeout: self.limits.connect_timeout,
                 clock: self.clock,
                 written: self.figures.written(),
@@ -700,8 +730,8 @@
         let (mut names, clock, limits) = (Names::default(), Clock::new(), env.host_limits().unwrap());
         let balancer = Balancer::new(env.settings(&mut names).unwrap(), 1);
         let (sender, inputs) = mpsc::unbounded_channel();
-        let pool = (Pool::new(8, limits, clock), Budget::new(1 << 20));
-        (Driver::new(balancer, names, clock, limits, pool, sender, Arc::new(Notify::new())), inputs)
+        let room = Room::new(256, 32 << 20, false);
+        (Driver::new(balancer, names, clock, limits, room, sender, Arc::new(Notify::new())), inputs)
     }
 
     fn list(name: &str, address: SocketAddr, since_ms: u64) -> List {
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -12,6 +12,8 @@
 use serde::{Deserialize, Serialize};
 use tracing::{info, warn};
 
+use crate::room::Shares;
+
 const FORM: &str = "merlinfold-orders";
 const VERSION: u32 = 1;
 const ORDERS_MOST: u64 = 4 << 20; // bytes: the names of far more servers than a node has
@@ -109,6 +111,9 @@
     first: Place,
     second: Place,
     companion: bool,
+    room: PathBuf,
+    token: String, // of this process, to be told from one that was beside the first earlier
+    said: Option<String>, // what was last told the second
 }
 
 impl Shared {
@@ -119,8 +124,11 @@
         let place = |ending: &str| Place { path: folder.join(format!("{stem}.{ending}")), held: None };
         let orders = folder.join(format!("{stem}.orders"));
         let (first, second) = (place("first"), place("second"));
-        let mut shared =
-            Shared { node: node.to_owned(), orders, stamp: None, first, second, companion: false };
+        let started = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let token = format!("{:x}-{:x}", started.as_nanos(), std::process::id());
+        let room = folder.join(format!("{stem}.room"));
+        let (node, stamp, companion) = (node.to_owned(), None, false);
+        let mut shared = Shared { node, orders, stamp, first, second, companion, room, token, said: None };
         shared.look().map_err(|error| format!("{}: {error}", folder.display()))?;
         Ok(shared)
     }
@@ -142,7 +150,10 @@
             self.second.held = None; // the predecessor, if there was one, is gone
             self.companion = self.second.is_taken()?;
         } else {
-            self.second.take()?; // a third process waits for either place
+            // A third process waits for either place.
+            if self.second.held.is_none() && self.second.take()? {
+                fs::write(&self.second.path, &self.token)?;
+            }
             self.companion = true;
         }
         if was != self.companion {
@@ -152,6 +163,33 @@
         Ok(())
     }
 
+    /// Whether this process is one of the two that a node may have.
+    pub fn has_place(&self) -> bool {
+        self.is_first() || self.second.held.is_some()
+    }
+
+    /// Tells the process beside this one how much this one still keeps, if that has changed.
+    pub fn keep(&mut self, kept: Shares) -> io::Result<()> {
+        let token = fs::read_to_string(&self.second.path)?;
+        let said = format!("{token} {} {} {}", kept.clients, kept.servers, kept.bodies);
+        if self.said.as_ref() != Some(&said) {
+            fs::write(&self.room, &said)?;
+            self.said = Some(said);
+        }
+        Ok(())
+    }
+
+    /// What the process that came first still keeps, once it has told this one. A file that is another's, or cut
+    /// short, tells nothing.
+    pub fn kept(&self) -> Option<Shares> {
+        let text = fs::read_to_string(&self.room).ok()?;
+        let mut words = text.split(' ');
+        words.next().filter(|token| *token == self.token)?;
+        let mut number = || words.next().and_then(|word| word.parse().ok());
+        let kept = Shares { clients: number()?, servers: number()?, bodies: number()? };
+        words.next().is_none().then_some(kept)
+    }
+
     /// The orders, if they were written since this process last read or wrote them.
     pub fn changed(&mut self) -> Option<Orders> {
         let stamp = self.look_at_orders();
@@ -262,6 +300,32 @@
         assert!(third.has_companion(), "as of its last look");
     }
 
+    #[test]
+    fn what_is_kept_is_told_to_one_and_not_to_the_next() {
+        let folder = Folder::new("room");
+        let mut old = Shared::open(&folder.0, "n0").unwrap();
+        let new = Shared::open(&folder.0, "n0").unwrap();
+        let kept = |clients| Shares { clients, servers: 7, bodies: 9 };
+        assert!(old.has_place() && new.has_place() && new.kept().is_none());
+        old.keep(kept(5)).unwrap();
+        assert_eq!(new.kept(), Some(kept(5)));
+        old.keep(kept(4)).unwrap();
+        assert_eq!(new.kept(), Some(kept(4)));
+        for torn in ["", " 4", " 4 7 9 1", " 4 7 x"] {
+            fs::write(&new.room, format!("{}{torn}", new.token)).unwrap();
+            assert_eq!(new.kept(), None, "{torn:?}");
+        }
+        assert!(!Shared::open(&folder.0, "n0").unwrap().has_place(), "a third waits");
+        drop(new);
+        old.look().unwrap();
+        let mut next = Shared::open(&folder.0, "n0").unwrap();
+        next.token.push('x'); // as a clock without much resolution would not do
+        fs::write(&next.second.path, &next.token).unwrap();
+        assert_eq!(next.kept(), None, "that was another's");
+        old.keep(kept(4)).unwrap();
+        assert_eq!(next.kept(), Some(kept(4)));
+    }
+
     #[test]
     fn orders_reach_the_other_once_and_not_their_writer() {
         let folder = Folder::new("orders");
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 mod list;
 mod peers;
 pub mod process;
+mod room;
 mod stream;
 mod upstream;
 
@@ -34,12 +35,8 @@
 use merlinfold_decide::policy::Balancer;
 use merlinfold_settings::{Env, HostLimits, Names};
 
-const BACKLOG: u32 = 1024; // connections that the kernel holds until they are accepted
-const CLIENTS_PART: usize = 3; // one descriptor in so many may be held by clients
 const MEMORY_LEAST: f64 = 32.0; // MB; taken where the configuration does not say
-const BODIES_PART: usize = 4; // one byte of memory in so many may be held as bodies
 const SOCKETS_LEAST: usize = 64; // descriptors below which no useful node fits
-const OTHER_SOCKETS: usize = 16 + console::CALLERS_MOST; // listeners, peers, discovery, runtime, log, callers
 
 /// What a node is told at its start.
 #[derive(Debug, Deserialize)]
@@ -115,7 +112,7 @@
 
 /// A node whose sockets are open.
 pub struct Node {
-    listener: TcpListener,
+    door: front::Door,
     front: front::Front,
     driver: driver::Driver,
     console: Option<TcpListener>,
@@ -133,11 +130,8 @@
     pub async fn bind(config: Config, folder: Option<&Path>) -> Result<Self, String> {
         let (mut names, clock) = (Names::default(), Clock::new());
         let (host, settings, seed) = config.check(&mut names)?;
-        // What neither part takes is room for connections that are closing.
-        let clients = config.limits.sockets / CLIENTS_PART;
-        let half = (config.limits.sockets - OTHER_SOCKETS) / 2;
         let cannot = |what, at| move |error: io::Error| format!("{what}: cannot use {at}: {error}");
-        let listener = listen(config.listen).map_err(cannot("listen", config.listen))?;
+        let socket = bind(config.listen).map_err(cannot("listen", config.listen))?;
         let open_console = |at| console::listen(at).map_err(cannot("console", at));
         let console = config.console.map(open_console).transpose()?;
         let (sender, inputs) = mpsc::unbounded_channel();
@@ -151,14 +145,12 @@
         let asks = settings.discovery == Discovery::Ask;
         let (moves, address) = watch::channel(config.discovery);
         let (discovery, watch) = discovery::Watcher::new(address, sender.clone(), asks);
-        let pool = upstream::Pool::new(half, host, clock);
         let memory = (config.limits.memory_mb.unwrap_or(MEMORY_LEAST) * f64::from(1 << 20)) as usize; // saturates
-        let budget = body::Budget::new(memory / BODIES_PART);
-        let room = (pool, budget.clone());
+        let room = room::Room::new(config.limits.sockets, memory, false);
         let balancer = Balancer::new(settings.clone(), seed);
         let mut driver =
-            driver::Driver::new(balancer, names.clone(), clock, host, room, sender.clone(), watch);
-        let front = front::Front::new(&settings, &names, clock, sender, clients, driver.posture(), budget);
+            driver::Driver::new(balancer, names.clone(), clock, host, room.clone(), sender.clone(), watch);
+        let front = front::Front::new(&settings, &names, clock, sender, room, driver.posture());
         driver.tell_through(peers.as_ref());
         // Before the list: no request may go to a server that is out, nor may one be taken in standby.
         match folder.map(|folder| handover::Shared::open(folder, &config.name)) {
@@ -167,7 +159,9 @@
             None => {}
         }
         driver.known(config.known.unwrap_or_default());
-        Ok(Node { listener, front, driver, console, inputs, peers, discovery, moves, name: config.name })
+        let opens = driver.posture().borrow().opens;
+        let door = front::Door::new(socket, opens).map_err(cannot("listen", config.listen))?;
+        Ok(Node { door, front, driver, console, inputs, peers, discovery, moves, name: config.name })
     }
 
     /// Where operators call, if anywhere.
@@ -177,7 +171,7 @@
 
     /// Where clients connect.
     pub fn address(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
+        self.door.address()
     }
 
     /// By what a changed configuration reaches the node while it runs.
@@ -187,7 +181,7 @@
 
     /// Serves until the signal comes and all that was taken has been answered.
     pub async fn run(self, stop: impl Future<Output = ()>) {
-        let address = self.listener.local_addr().map_or_else(|error| error.to_string(), |at| at.to_string());
+        let address = self.door.address().map_or_else(|error| error.to_string(), |at| at.to_string());
         info!(name = self.name, %address, "serving");
         let mut parts = tokio::task::JoinSet::new();
         let sender = self.driver.sender();
@@ -206,7 +200,7 @@
         };
         // The front decides when the node is done; the other parts go on serving it until then.
         tokio::select! {
-            () = Arc::new(self.front).serve(self.listener) => info!("stopped"),
+            () = Arc::new(self.front).serve(self.door) => info!("stopped"),
             () = stop => {}
             Some(Err(fault)) = parts.join_next() => std::panic::resume_unwind(fault.into_panic()),
         }
@@ -214,12 +208,12 @@
 }
 
 /// Two processes of one node share the address while one takes over from the other.
-fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+fn bind(at: SocketAddr) -> io::Result<TcpSocket> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
     socket.set_reuseport(true)?;
     socket.bind(at)?;
-    socket.listen(BACKLOG)
+    Ok(socket)
 }
 
 /// The same for messages between nodes; each goes to one of the two.
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -3,6 +3,8 @@
 use merlinfold_decide::interface::Nanos;
 
 const ACCEPT_AFTER_STOP: Nanos = 550_000_000; // for what clients still open then
+/// For a predecessor to make room: its requests last for less, and the platform waits 6 s for a successor.
+const MAKE_ROOM: Nanos = 1_000_000_000;
 const OVER_DEADLINE: Nanos = 500_000_000; // after the longest deadline from a stop: all answers are out
 /// From standby on, until connections without a request are closed: the front has by then sent clients
 /// elsewhere, and what is left of the 4 s that a drain may take covers the longest answer.
@@ -35,6 +37,8 @@
     pub keeps: bool,
     /// How many times those without a request were to be closed so far.
     pub retired: u64,
+    /// Clients may connect at all: there is room for them.
+    pub opens: bool,
     /// New connections are taken.
     pub accepts: bool,
     /// When the node ends, whatever is left by then.
@@ -47,6 +51,7 @@
     state: State,
     retired: u64,
     retire_at: Option<Nanos>,
+    open_by: Option<Nanos>, // while the predecessor makes room: when to go on without
     accepts: bool,
     longest: Nanos,
 }
@@ -54,7 +59,22 @@
 impl Life {
     /// A node that works; `longest` is the longest time that a client waits for an answer.
     pub fn new(longest: Nanos) -> Self {
-        Life { state: State::Active, retired: 0, retire_at: None, accepts: true, longest }
+        Life { state: State::Active, retired: 0, retire_at: None, open_by: None, accepts: true, longest }
+    }
+
+    /// Starts beside a predecessor that has yet to make room, for which it has a while.
+    pub fn wait(&mut self, now: Nanos) {
+        self.open_by = Some(now + MAKE_ROOM);
+    }
+
+    /// There is room.
+    pub fn open(&mut self) {
+        self.open_by = None;
+    }
+
+    /// Connections without a request are to be closed, to make room.
+    pub fn retire(&mut self) {
+        self.retired += 1;
     }
 
     /// Takes an order; false if it cannot be carried out any more.
@@ -73,6 +93,7 @@
 
     /// Does what has come due.
     pub fn tick(&mut self, now: Nanos) {
+        self.open_by = self.open_by.filter(|&by| now < by);
         if self.retire_at.is_some_and(|at| at <= now) {
             (self.retire_at, self.retired) = (None, self.retired + 1);
         }
@@ -83,10 +104,11 @@
 
     /// When time alone next changes the posture.
     pub fn due(&self) -> Option<Nanos> {
-        match self.state {
+        let of_state = match self.state {
             State::Stopping { since } if self.accepts => Some(since + ACCEPT_AFTER_STOP),
             _ => self.retire_at,
-        }
+        };
+        [of_state, self.open_by].into_iter().flatten().min()
     }
 
     /// As of the last order or tick.
@@ -101,6 +123,7 @@
             ready,
             keeps: self.state == State::Active,
             retired: self.retired,
+            opens: self.open_by.is_none(),
             accepts: self.accepts,
             ends_at,
         }
@@ -109,6 +132,7 @@
     /// One word for the log.
     pub fn name(&self) -> &'static str {
         match self.state {
+            State::Active if self.open_by.is_some() => "starting",
             State::Active => "active",
             State::Standby { .. } => "standby",
             State::Stopping { .. } => "stopping",
@@ -138,6 +162,8 @@
         #[test]
         fn every_order_holds_until_the_next(orders in orders()) {
             let (mut life, mut now) = (Life::new(750_000_000), 0);
+            life.wait(now); // for a predecessor that makes no room, which ends by itself
+            prop_assert!(!life.posture().opens);
             let (mut standby_since, mut retired_then, mut stopped) = (None::<Nanos>, 0, None::<Nanos>);
             for (after, order) in orders {
                 // Time passes in the steps that the machine itself asks for.
@@ -149,6 +175,7 @@
                 }
                 now = until;
                 let before = life.posture();
+                prop_assert_eq!(before.opens, now >= MAKE_ROOM);
                 if let Some(since) = standby_since.filter(|_| stopped.is_none()) {
                     prop_assert!(!before.ready && !before.keeps && before.accepts);
                     prop_assert!(now < since + DRAIN / 2 || before.retired > retired_then);
@@ -168,7 +195,7 @@
                     prop_assert!(!after.keeps && after.ends_at.is_some());
                 } else if standby_since.is_none() {
                     prop_assert!(after.ready && after.keeps && after.accepts && after.ends_at.is_none());
-                    prop_assert_eq!(life.due(), None);
+                    prop_assert_eq!(life.due(), Some(MAKE_ROOM).filter(|_| !after.opens));
                 }
             }
             if stopped.is_some() {
--- /dev/null
+++ b/crates/node/src/room.rs
@@ -0,0 +1,264 @@
+//! What a process may hold: descriptors for clients and for servers, bytes of bodies. Two processes of one node,
+//! while one takes over from the other, hold no more together than one alone.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use crate::console::CALLERS_MOST;
+
+const CLIENTS_PART: usize = 3; // one descriptor in so many may be held by clients
+const BODIES_PART: usize = 4; // one byte of memory in so many may be held as bodies
+const BESIDE: usize = 16; // what a successor opens before there is room: log, state, discovery, a caller
+const SERVERS_LEAST: usize = 4; // connections without which a node serves nothing
+/// Descriptors beside those of clients and servers: listeners, peers, discovery, runtime, log, callers.
+pub const OTHERS: usize = 16 + CALLERS_MOST;
+/// Bytes that one unit of the room for bodies stands for.
+pub const UNIT: usize = 1 << 10;
+
+/// How much of each.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shares {
+    /// Connections of clients.
+    pub clients: usize,
+    /// Connections to servers.
+    pub servers: usize,
+    /// Units of held bodies.
+    pub bodies: usize,
+}
+
+impl Shares {
+    /// Of so many descriptors and bytes of memory, alone or beside another process.
+    pub fn of(sockets: usize, memory: usize, beside: bool) -> Self {
+        let clients = sockets / CLIENTS_PART;
+        let left = sockets.saturating_sub(clients + OTHERS);
+        let servers = left.saturating_sub(BESIDE).min(sockets.saturating_sub(OTHERS) / 2);
+        let alone = Shares {
+            clients,
+            servers: servers.max(SERVERS_LEAST),
+            bodies: (memory / BODIES_PART / UNIT).min(Semaphore::MAX_PERMITS),
+        };
+        if !beside {
+            return alone;
+        }
+        let Shares { clients, servers, bodies } = alone;
+        let half = |all: usize| all.saturating_sub(OTHERS) / 2;
+        Shares {
+            clients: clients / 2,
+            // Its own listeners and callers come out of the servers' part.
+            servers: half(servers).max(SERVERS_LEAST),
+            bodies: bodies / 2,
+        }
+    }
+
+    /// What is left of all this beside a process that keeps so much.
+    fn beside(self, kept: Shares) -> Self {
+        Shares {
+            clients: self.clients.saturating_sub(kept.clients),
+            servers: self.servers.saturating_sub(kept.servers + OTHERS).max(SERVERS_LEAST),
+            bodies: self.bodies.saturating_sub(kept.bodies),
+        }
+    }
+
+    /// The lesser of each.
+    fn min(self, other: Shares) -> Self {
+        Shares {
+            clients: self.clients.min(other.clients),
+            servers: self.servers.min(other.servers),
+            bodies: self.bodies.min(other.bodies),
+        }
+    }
+}
+
+/// So many of something, of which each is held by a permit; how many there are may change.
+#[derive(Debug)]
+pub struct Slots {
+    free: Arc<Semaphore>,
+    most: AtomicUsize,
+    target: AtomicUsize,
+}
+
+impl Slots {
+    /// That many.
+    pub fn new(most: usize) -> Arc<Self> {
+        Arc::new(Slots {
+            free: Arc::new(Semaphore::new(most)),
+            most: AtomicUsize::new(most),
+            target: AtomicUsize::new(most),
+        })
+    }
+
+    /// Waits for one, in the order of asking.
+    pub async fn take(&self) -> OwnedSemaphorePermit {
+        self.free.clone().acquire_owned().await.expect("it is never closed")
+    }
+
+    /// So many at once, if they are free.
+    pub fn try_take(&self, count: u32) -> Option<OwnedSemaphorePermit> {
+        self.free.clone().try_acquire_many_owned(count).ok()
+    }
+
+    /// Free ones.
+    pub fn free(&self) -> usize {
+        self.free.available_permits()
+    }
+
+    /// All that there are now, free or held.
+    pub fn most(&self) -> usize {
+        self.most.load(Ordering::Relaxed)
+    }
+
+    /// Those that are held.
+    pub fn held(&self) -> usize {
+        self.most().saturating_sub(self.free())
+    }
+
+    /// From now on there are to be so many. Of too many those that are held go as they are given back: see
+    /// [`Slots::settle`].
+    pub fn resize(&self, target: usize) {
+        self.target.store(target, Ordering::Relaxed);
+        let most = self.most();
+        if target > most {
+            self.free.add_permits(target - most);
+            self.most.store(target, Ordering::Relaxed);
+        }
+        self.settle();
+    }
+
+    /// Takes away what is free of too many. Whether there are no more than there should be.
+    pub fn settle(&self) -> bool {
+        let (most, target) = (self.most(), self.target.load(Ordering::Relaxed));
+        let most = most - self.free.forget_permits(most.saturating_sub(target));
+        self.most.store(most, Ordering::Relaxed);
+        most <= target
+    }
+}
+
+/// All that a process may hold.
+#[derive(Clone, Debug)]
+pub struct Room {
+    /// Connections of clients.
+    pub clients: Arc<Slots>,
+    /// Connections to servers.
+    pub servers: Arc<Slots>,
+    /// Bytes of bodies, in units.
+    pub bodies: Arc<Slots>,
+    sockets: usize,
+    memory: usize,
+}
+
+impl Room {
+    /// Of so many descriptors and bytes of memory.
+    pub fn new(sockets: usize, memory: usize, beside: bool) -> Self {
+        let Shares { clients, servers, bodies } = Shares::of(sockets, memory, beside);
+        Room {
+            clients: Slots::new(clients),
+            servers: Slots::new(servers),
+            bodies: Slots::new(bodies),
+            sockets,
+            memory,
+        }
+    }
+
+    /// Makes room for another process, or takes it back.
+    pub fn resize(&self, beside: bool) {
+        self.set(Shares::of(self.sockets, self.memory, beside));
+    }
+
+    /// Takes what the process that came first does not keep, up to a half. Whether that is the half.
+    pub fn fit(&self, kept: Shares) -> bool {
+        let half = Shares::of(self.sockets, self.memory, true);
+        let shares = Shares::of(self.sockets, self.memory, false).beside(kept).min(half);
+        self.set(shares);
+        shares == half
+    }
+
+    /// What this process keeps for as long as it is held.
+    pub fn kept(&self) -> Shares {
+        let [clients, servers, bodies] =
+            [&self.clients, &self.servers, &self.bodies].map(|slots| slots.most());
+        Shares { clients, servers, bodies }
+    }
+
+    fn set(&self, Shares { clients, servers, bodies }: Shares) {
+        self.clients.resize(clients);
+        self.servers.resize(servers);
+        self.bodies.resize(bodies);
+    }
+
+    /// Whether no more is held than there should be. Bodies end by themselves, soon: nobody waits for them.
+    pub fn settle(&self) -> bool {
+        let settled = [&self.clients, &self.servers, &self.bodies].map(|slots| slots.settle());
+        settled[0] && settled[1]
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        /// Whatever the limits: a process that starts beside one that has not made room yet, and two that have,
+        /// stay within them; clients have a third at most.
+        #[test]
+        fn two_processes_hold_no_more_than_the_limit(
+            sockets in 192usize..100_000, memory in 0usize..1 << 40, over in 0.0..1.0f64
+        ) {
+            let (alone, half) = (Shares::of(sockets, memory, false), Shares::of(sockets, memory, true));
+            let all = |s: Shares| s.clients + s.servers + OTHERS;
+            prop_assert!(all(alone) + BESIDE <= sockets);
+            prop_assert!(2 * all(half) <= sockets);
+            prop_assert!(alone.clients * 3 <= sockets && half.clients * 6 <= sockets);
+            prop_assert!(half.servers >= SERVERS_LEAST && 4 * alone.bodies * UNIT <= memory);
+            // On its way from all to half, with so much still held.
+            let still = |half: usize, all: usize| half + ((all - half) as f64 * over) as usize;
+            let kept = Shares {
+                clients: still(half.clients, alone.clients),
+                servers: still(half.servers, alone.servers),
+                bodies: still(half.bodies, alone.bodies),
+            };
+            let room = Room::new(sockets, memory, true);
+            let whole = room.fit(kept);
+            let new = room.kept();
+            // Until then it has not more than the few connections that its start leaves room for.
+            prop_assert!(kept.clients + new.clients <= alone.clients && kept.bodies + new.bodies <= alone.bodies);
+            let few = new.servers <= SERVERS_LEAST;
+            prop_assert!(few || kept.servers + new.servers + 2 * OTHERS + kept.clients + new.clients <= sockets);
+            prop_assert!(!whole || new == half);
+            prop_assert!(kept != half || whole);
+        }
+
+        /// However slots are taken, given back and resized, no more are held than there were when they were taken,
+        /// and all that there should be come back.
+        #[test]
+        fn slots_follow_their_number(steps in prop::collection::vec((0usize..4, 0usize..12), 1..60)) {
+            let slots = Slots::new(8);
+            let (mut held, mut target) = (Vec::new(), 8);
+            for (what, n) in steps {
+                match what {
+                    0 => {
+                        let before = slots.held();
+                        if let Some(slot) = slots.try_take(1) {
+                            prop_assert!(before < slots.most());
+                            held.push(slot);
+                        }
+                    }
+                    1 if !held.is_empty() => drop(held.swap_remove(n % held.len())),
+                    2 => {
+                        target = n;
+                        slots.resize(n);
+                    }
+                    _ => {}
+                }
+                let settled = slots.settle();
+                prop_assert_eq!(settled, held.len() <= target);
+                prop_assert_eq!(slots.held(), held.len());
+                prop_assert_eq!(slots.most(), held.len().max(target));
+            }
+            held.clear();
+            prop_assert!(slots.settle() && slots.free() == target);
+        }
+    }
+}
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -15,13 +15,14 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::{yield_now, AbortHandle};
 use tokio::time::{sleep_until, timeout, timeout_at, Duration, Instant};
 
 use crate::body::{gather, Budget, Held, Relay, Sending, Upload, Waited};
 use crate::clock::Clock;
 use crate::figures::Written;
+use crate::room::Slots;
 use crate::stream::Shared;
 use merlinfold_decide::interface::{LoadReport, Nanos, ServerId, Status};
 use merlinfold_settings::{set_figure, HostLimits};
@@ -180,7 +181,7 @@
 /// Idle connections, and slots for all that may be open.
 pub struct Pool {
     idle: BTreeMap<ServerId, Vec<(Connection, Nanos)>>,
-    slots: Arc<Semaphore>,
+    slots: Arc<Slots>,
     idle_most: Nanos,
     clock: Clock,
 }
@@ -192,9 +193,9 @@
 }
 
 impl Pool {
-    pub fn new(most: usize, limits: HostLimits, clock: Clock) -> Self {
+    pub fn new(slots: Arc<Slots>, limits: HostLimits, clock: Clock) -> Self {
         let idle_most = (limits.idle_timeout as f64 * IDLE_SHARE) as Nanos;
-        Pool { idle: BTreeMap::new(), slots: Arc::new(Semaphore::new(most)), idle_most, clock }
+        Pool { idle: BTreeMap::new(), slots, idle_most, clock }
     }
 
     /// The connection to the server that was used last, or leave to open one; none if all are in use.
@@ -205,14 +206,22 @@
                 return Some(Way::Open(connection));
             }
         }
-        let mut slot = self.slots.clone().try_acquire_owned();
-        if slot.is_err() {
-            // The longest idle makes room.
-            let oldest = self.idle.values_mut().filter(|idle| !idle.is_empty()).min_by_key(|idle| idle[0].1);
-            oldest.map(|idle| idle.remove(0))?;
-            slot = self.slots.clone().try_acquire_owned();
+        let mut slot = self.slots.try_take(1);
+        if slot.is_none() && self.drop_oldest() {
+            slot = self.slots.try_take(1);
         }
-        slot.ok().map(Way::Connect)
+        slot.map(Way::Connect)
+    }
+
+    /// Closes the connection that has been idle longest; false if there is none.
+    fn drop_oldest(&mut self) -> bool {
+        let oldest = self.idle.values_mut().filter(|idle| !idle.is_empty()).min_by_key(|idle| idle[0].1);
+        oldest.map(|idle| idle.remove(0)).is_some()
+    }
+
+    /// Closes idle connections until there are no more than there should be, or none is idle.
+    pub fn shed(&mut self) {
+        while !self.slots.settle() && self.drop_oldest() {}
     }
 
     pub fn put(&mut self, to: ServerId, connection: Connection) {
@@ -437,12 +446,12 @@
             HeaderMap::new(),
             Payload::Held(Held::small(Bytes::new())),
         );
-        let slot = Arc::new(Semaphore::new(1)).try_acquire_owned().unwrap();
+        let slot = Slots::new(1).try_take(1).unwrap();
         let run = Attempt {
             server,
             request: Arc::new(request),
             started: clock.now(),
-            budget: Budget::new(1 << 20),
+            budget: Budget(Slots::new(64)),
             expires: clock.now() + 5_000_000_000,
             connect_timeout: 5_000_000_000,
             clock,
