--- /dev/null
+++ b/crates/membership/src/record.rs
@@ -0,0 +1,89 @@
+//! What nodes tell each other of a member, and which of two tales holds.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// A member's name: the same everywhere and over restarts.
+pub type Name = Arc<str>;
+
+/// Bytes of a name, zone, machine or version at most.
+pub const WORD_MOST: usize = 64;
+
+/// What a member says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Profile {
+    /// Zone that it runs in.
+    pub zone: Name,
+    /// Machine that it runs on.
+    pub machine: Name,
+    /// Where it hears datagrams.
+    pub address: SocketAddr,
+    /// Version of the program.
+    pub version: Name,
+    /// Least and greatest protocol that it speaks.
+    pub protocols: (u8, u8),
+}
+
+/// How a member fares.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Tale {
+    /// It is there.
+    Alive(Profile),
+    /// It did not answer this one.
+    Suspect {
+        /// Whom.
+        by: Name,
+    },
+    /// It did not refute in time.
+    Dead,
+    /// It said that it leaves.
+    Left,
+}
+
+impl Tale {
+    /// Which of two tales of one incarnation holds: the greater.
+    fn rank(&self) -> u8 {
+        match self {
+            Tale::Alive(_) => 0,
+            Tale::Suspect { .. } => 1,
+            Tale::Dead => 2,
+            Tale::Left => 3,
+        }
+    }
+}
+
+/// One tale of one member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Of whom.
+    pub name: Name,
+    /// How often the member has contradicted what was told of it: only it can raise this.
+    pub incarnation: u64,
+    /// Which start of the member this is about.
+    pub run: u64,
+    /// What is told.
+    pub tale: Tale,
+}
+
+impl Record {
+    /// What holds is the greatest: a total order, so records can be merged in any order and any number of times.
+    pub fn weight(&self) -> (u64, u8, u64) {
+        (self.incarnation, self.tale.rank(), self.run)
+    }
+
+    /// Whether no word in it is longer than allowed.
+    pub fn is_proper(&self) -> bool {
+        let fits = |word: &Name| !word.is_empty() && word.len() <= WORD_MOST;
+        fits(&self.name)
+            && match &self.tale {
+                Tale::Alive(profile) => {
+                    let of_itself = [&profile.zone, &profile.machine, &profile.version];
+                    of_itself.into_iter().all(fits) && profile.protocols.0 <= profile.protocols.1
+                }
+                Tale::Suspect { by } => fits(by),
+                Tale::Dead | Tale::Left => true,
+            }
+    }
+}
