--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -19,5 +19,6 @@
 mod servers;
 pub mod sim;
 mod time;
+pub mod trial;
 
 pub use servers::body;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,7 +9,7 @@
 use merlinfold_lab::compare::paired;
 use merlinfold_lab::play::{play, Plan, Played};
 use merlinfold_lab::process::NodeCommand;
-use merlinfold_lab::{experiments, html, sim};
+use merlinfold_lab::{experiments, html, sim, trial};
 use merlinfold_world::experiment::Experiment;
 use tokio::signal::unix::{signal, SignalKind};
 
@@ -77,6 +77,11 @@
         #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=100))]
         pairs: u64,
     },
+    /// Play trials: what fails between many processes, and the laws that hold all the while.
+    Trial {
+        #[command(subcommand)]
+        command: trial::command::Command,
+    },
     /// List the kept experiments and what they ask.
     List,
     /// This program as a node, which is what the lab starts.
@@ -153,6 +158,7 @@
         Command::Compare { a, b, experiments, seeds } => compare(&a, &b, &experiments, seeds).await,
         Command::Load(common) => load(&common).await,
         Command::Cost { common, against, pairs } => cost(&common, against.as_deref(), pairs).await,
+        Command::Trial { command } => trial::command::carry_out(command).await,
         Command::List | Command::Node => Ok(ExitCode::SUCCESS),
     }
 }
--- /dev/null
+++ b/crates/lab/src/trial/command.rs
@@ -0,0 +1,144 @@
+//! `merlinfold-lab trial`.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Args, Subcommand};
+use merlinfold_trial::report::Report;
+use merlinfold_trial::{catalogue, html, shrink, virtual_time, Trial};
+
+use crate::process::NodeCommand;
+
+/// Exit code of a play that could not keep time.
+const VOID: u8 = 3;
+/// Seeds that `search` plays at most.
+const SEEDS_MOST: u64 = 100_000;
+
+/// What to do with trials.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// List the kept trials and what they ask.
+    List,
+    /// Play one: processes of the program, or in virtual time.
+    Run(Run),
+    /// Play one in virtual time over many seeds; print the first breach, shrunk to a smaller schedule.
+    Search {
+        /// The name of a kept trial, or a file.
+        trial: String,
+        /// Seeds to play: 1, 2, 3 ...
+        #[arg(long, default_value_t = 100, value_parser = clap::value_parser!(u64).range(1..=SEEDS_MOST))]
+        seeds: u64,
+        /// Nodes; else the trial's own.
+        #[arg(long)]
+        nodes: Option<usize>,
+        /// Write the smaller schedule that breaks here, to be kept as a test.
+        #[arg(long, value_name = "FILE")]
+        keep: Option<PathBuf>,
+    },
+}
+
+/// How to play one.
+#[derive(Debug, Args)]
+pub struct Run {
+    /// The name of a kept trial, or a file.
+    trial: String,
+    /// Seed of all that is drawn; else the trial's own.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Nodes; else the trial's own.
+    #[arg(long)]
+    nodes: Option<usize>,
+    /// In virtual time: the same seed gives the same report.
+    #[arg(long = "virtual")]
+    in_virtual_time: bool,
+    /// Write the report as JSON.
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// Write the report as one page.
+    #[arg(long, value_name = "FILE")]
+    html: Option<PathBuf>,
+    /// Keep the folders and logs of the nodes here.
+    #[arg(long, value_name = "FOLDER", conflicts_with = "in_virtual_time")]
+    logs: Option<PathBuf>,
+    /// Command of a node; else this build's own.
+    #[arg(long, value_name = "COMMAND", conflicts_with = "in_virtual_time")]
+    node: Option<String>,
+}
+
+/// A kept trial, or one in a file.
+fn find(name: &str, seed: Option<u64>, nodes: Option<usize>) -> Result<Trial, String> {
+    let mut trial = if Path::new(name).is_file() {
+        let text = std::fs::read_to_string(name).map_err(|error| format!("{name}: {error}"))?;
+        Trial::parse(&text).map_err(|fault| format!("{name}:{fault}"))?
+    } else {
+        catalogue::find(name)?
+    };
+    trial.seed = seed.unwrap_or(trial.seed);
+    trial.fleet.nodes = nodes.unwrap_or(trial.fleet.nodes);
+    trial.check().map_err(|fault| format!("{name}: {fault}"))?;
+    Ok(trial)
+}
+
+/// Carries it out.
+pub async fn carry_out(command: Command) -> Result<ExitCode, String> {
+    match command {
+        Command::List => {
+            for (name, _) in catalogue::KEPT {
+                println!("{name:<20} {}", catalogue::find(name)?.question);
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Run(told) => run(told).await,
+        Command::Search { trial, seeds, nodes, keep } => search(&trial, seeds, nodes, keep.as_deref()),
+    }
+}
+
+fn write(path: &Path, text: &str) -> Result<(), String> {
+    std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))
+}
+
+async fn run(told: Run) -> Result<ExitCode, String> {
+    let trial = find(&told.trial, told.seed, told.nodes)?;
+    let report: Report = if told.in_virtual_time {
+        virtual_time::play(&told.trial, &trial, None)?
+    } else {
+        let nodes = told.node.as_deref().map_or_else(NodeCommand::own, NodeCommand::of)?;
+        super::processes::play(&told.trial, &trial, &nodes, told.logs.as_deref()).await?
+    };
+    print!("{}", report.text());
+    if let Some(path) = &told.json {
+        write(path, &report.json())?;
+    }
+    if let Some(path) = &told.html {
+        write(path, &html::page(&report))?;
+        println!("page: {}", path.display());
+    }
+    Ok(match (&report.void, report.breaches.is_empty()) {
+        (Some(_), _) => ExitCode::from(VOID),
+        (None, true) => ExitCode::SUCCESS,
+        (None, false) => ExitCode::FAILURE,
+    })
+}
+
+fn search(name: &str, seeds: u64, nodes: Option<usize>, keep: Option<&Path>) -> Result<ExitCode, String> {
+    let trial = find(name, None, nodes)?;
+    for seed in 1..=seeds {
+        let trial = Trial { seed, ..trial.clone() };
+        let report = virtual_time::play(name, &trial, None)?;
+        let Some(law) = report.breaches.first().map(|breach| breach.law) else { continue };
+        print!("{}", report.text());
+        let breaks = |smaller: &Trial| {
+            let played = virtual_time::play(name, smaller, None);
+            played.is_ok_and(|report| report.breaches.iter().any(|breach| breach.law == law))
+        };
+        let small = shrink::shrink(&trial, breaks);
+        let text = toml::to_string(&small).map_err(|error| format!("schedule: {error}"))?;
+        println!("the smallest schedule found that breaks it, {law}:\n\n{text}");
+        if let Some(path) = keep {
+            write(path, &text)?;
+        }
+        return Ok(ExitCode::FAILURE);
+    }
+    println!("{name}: {seeds} seeds, all laws kept");
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/lab/src/trial/mod.rs
@@ -0,0 +1,4 @@
+//! Trials on sockets and processes, and their command.
+
+pub mod command;
+pub mod processes;
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -17,8 +17,10 @@
 const TRIES: u8 = 3; // of a probe: one alone, two with helpers
 const SLOW_MOST: u64 = 8; // times longer that a node in doubt of itself takes, beside the once
 const SAMPLES: usize = 12; // probes by which a node judges how much of the fleet it hears
-const SAMPLES_LEAST: u32 = 4; // fewer say nothing
-const DEAF: Nanos = 5_000 * MS; // without a word from anybody, until the others are accused all the same
+const SAMPLES_LEAST: u32 = 6; // fewer say nothing
+const REGAIN_LEAST: u32 = 9; // probes that tell a small side that it is none any more
+const DEAF_AFTER: Nanos = 1_000 * MS; // without a word from anybody
+const DEAF_FOR: Nanos = 6_000 * MS; // after which the others are accused all the same
 const ASKS_MOST: usize = 256; // probes for others under way
 const BUCKETS: usize = 64; // of a digest
 const ANSWERS_MOST: usize = 64; // answers to digests that wait
@@ -80,10 +82,11 @@
 struct Probe {
     number: u64,
     target: Name,
+    drawn: bool, // in its turn, not because it was accused: only such tell of the fleet as a whole
     tried: u8,
     next: Nanos,
     helpers: BTreeSet<Name>,
-    heard_from: BTreeSet<Name>, // helpers that said anything
+    answered: bool, // any helper said anything
 }
 
 #[derive(Clone, Debug)]
@@ -131,7 +134,9 @@
     next_answer: Nanos,
     next_sweep: Nanos,
     samples: VecDeque<(Name, bool)>,
-    deaf_since: Option<Nanos>,
+    heard_any: Nanos,
+    expected: Option<Nanos>, // when it asked to be told of the time
+    deaf: bool,
     slow: u64,
     majority: bool,
     counter: u64,
@@ -179,7 +184,9 @@
             next_answer: now,
             next_sweep: now + SWEEP_EVERY,
             samples: VecDeque::new(),
-            deaf_since: None,
+            heard_any: now,
+            expected: Some(now),
+            deaf: false,
             slow: 0,
             majority: true,
             counter: 0,
@@ -223,7 +230,8 @@
         if self.part == Part::Over {
             return;
         }
-        if let Some(late) = self.due().and_then(|due| now.checked_sub(due)).filter(|&late| late > HELD_UP) {
+        if let Some(late) = self.expected.and_then(|due| now.checked_sub(due)).filter(|&late| late > HELD_UP)
+        {
             self.held_up(now, late);
         }
         match event {
@@ -241,6 +249,8 @@
             }
         }
         self.judge(out);
+        // What has become due by an event is not late because of the time before it.
+        self.expected = self.due().map(|due| due.max(now));
     }
 
     /// This process did nothing for that long: what did not come meanwhile says nothing about others.
@@ -250,7 +260,8 @@
         self.probe = None;
         self.asked.clear();
         self.samples.clear();
-        self.deaf_since = None;
+        self.heard_any = now;
+        self.deaf = false;
         self.next_probe = now + self.tuning.probe_every;
         for name in &self.suspects {
             if let Some(peer) = self.peers.get_mut(name) {
@@ -315,32 +326,40 @@
             return;
         }
         self.next_probe = now + self.tuning.probe_every;
-        let Some(target) = self.next_target() else { return };
+        let Some((target, drawn)) = self.next_target() else { return };
         self.numbers += 1;
-        let (helpers, heard_from) = (BTreeSet::new(), BTreeSet::new());
-        let mut probe = Probe { number: self.numbers, target, tried: 0, next: now, helpers, heard_from };
+        let (number, helpers) = (self.numbers, BTreeSet::new());
+        let mut probe = Probe { number, target, drawn, tried: 0, next: now, helpers, answered: false };
         self.try_again(now, &mut probe, out);
         self.probe = Some(probe);
     }
 
-    fn next_target(&mut self) -> Option<Name> {
+    fn next_target(&mut self) -> Option<(Name, bool)> {
         while let Some(name) = self.checks.pop_front() {
             if self.suspects.contains(&name) {
-                return Some(name);
+                return Some((name, false));
             }
         }
         loop {
             if self.round.is_empty() {
-                self.round = self.live().to_vec();
+                self.round = if self.majority { self.live().to_vec() } else { self.should_be() };
                 self.rng.shuffle(&mut self.round);
             }
             let name = self.round.pop()?;
-            if self.peers.get(&name).is_some_and(Peer::is_live) {
-                return Some(name);
+            let asks =
+                |peer: &Peer| peer.is_live() || !self.majority && !matches!(peer.state, State::Left { .. });
+            if self.peers.get(&name).is_some_and(asks) {
+                return Some((name, true));
             }
         }
     }
 
+    /// All that did not leave. A node on a small side asks the dead as well: only that tells when it is over.
+    fn should_be(&self) -> Vec<Name> {
+        let stays = |peer: &Peer| !matches!(peer.state, State::Left { .. });
+        self.peers.iter().filter(|(_, peer)| stays(peer)).map(|(name, _)| name.clone()).collect()
+    }
+
     fn try_again(&mut self, now: Nanos, probe: &mut Probe, out: &mut Vec<Action>) {
         probe.tried += 1;
         probe.next = now + self.tuning.answer_within * (1 + self.slow);
@@ -375,25 +394,26 @@
         ranked.into_iter().take(self.tuning.helpers).map(|(_, _, name)| name).collect()
     }
 
-    fn sample(&mut self, target: &Name, reached: bool) {
-        self.samples.push_back((target.clone(), reached));
+    fn sample(&mut self, probe: &Probe, reached: bool) {
+        if !probe.drawn {
+            return;
+        }
+        self.samples.push_back((probe.target.clone(), reached));
         if self.samples.len() > SAMPLES {
             self.samples.pop_front();
         }
     }
 
     fn failed(&mut self, now: Nanos, probe: &Probe, out: &mut Vec<Action>) {
-        self.sample(&probe.target, false);
-        let (asked, said) = (probe.helpers.len(), probe.heard_from.len());
-        if 2 * said < asked {
-            self.slow = (self.slow + 1).min(SLOW_MOST);
-        }
-        if asked >= 2 && said == 0 {
-            // Whoever hears nobody at all is more likely to be at fault itself, for a while.
-            let since = *self.deaf_since.get_or_insert(now);
-            if now.saturating_sub(since) < DEAF {
-                return;
-            }
+        self.sample(probe, false);
+        if !probe.helpers.is_empty() && !probe.answered {
+            self.slow = (self.slow + 1).min(SLOW_MOST); // not one of them said even that it had no answer
+        }
+        // Whoever hears nobody at all is more likely to be at fault itself, for a while.
+        let silence = now.saturating_sub(self.heard_any);
+        self.deaf = silence > DEAF_AFTER * (1 + self.slow);
+        if self.deaf && silence < DEAF_FOR {
+            return;
         }
         let Some(peer) = self.peers.get(&probe.target).filter(|peer| peer.is_live()) else { return };
         let tale = Tale::Suspect { by: self.me.name.clone() };
@@ -441,6 +461,7 @@
             peer.heard = Some(now);
         }
         self.counts.heard += 1;
+        (self.heard_any, self.deaf) = (now, false);
         for record in &records {
             self.learn(now, record, Some(&envelope.from), out);
         }
@@ -451,7 +472,7 @@
         let gossiped = matches!(envelope.body, Body::Gossip);
         match envelope.body {
             Body::Ping { probe } => self.send(who, from, Body::Ack { probe }, &[], out),
-            Body::Ack { probe } => self.acked(&envelope.from, probe, out)?,
+            Body::Ack { probe } => self.acked(now, &envelope.from, probe, out)?,
             Body::Ask { probe, target, address } => {
                 if self.asked.len() >= ASKS_MOST {
                     return Err(Fault::Flood);
@@ -472,8 +493,7 @@
             Body::Nack { probe } => {
                 let of = self.probe.as_mut().filter(|own| own.number == probe);
                 let own = of.filter(|own| own.helpers.contains(&envelope.from)).ok_or(Fault::Unexpected)?;
-                own.heard_from.insert(envelope.from.clone());
-                self.deaf_since = None;
+                own.answered = true;
             }
             Body::Digest { sums, answer } => self.digest(&envelope.from, from, &sums, answer, out)?,
             Body::Gossip => {}
@@ -488,13 +508,22 @@
         Ok(())
     }
 
-    fn acked(&mut self, from: &Name, number: u64, out: &mut Vec<Action>) -> Result<(), Fault> {
+    fn acked(&mut self, now: Nanos, from: &Name, number: u64, out: &mut Vec<Action>) -> Result<(), Fault> {
         if let Some(probe) = self.probe.take_if(|probe| {
             probe.number == number && (probe.target == *from || probe.helpers.contains(from))
         }) {
-            self.deaf_since = None;
             self.slow = self.slow.saturating_sub(1);
-            self.sample(&probe.target, true);
+            self.sample(&probe, true);
+            if let Some(peer) = self.peers.get_mut(&probe.target) {
+                if matches!(peer.state, State::Dead { sure: false, .. }) {
+                    peer.state = State::Alive;
+                    peer.refuted(now);
+                    let tale = Tale::Alive(peer.profile.clone());
+                    let name = probe.target.clone();
+                    let record = Record { name, incarnation: peer.incarnation, run: peer.run, tale };
+                    self.changed(&record, Some("dead"), "alive", out);
+                }
+            }
             return Ok(());
         }
         let at = self.asked.iter().position(|asked| asked.number == number).ok_or(Fault::Unexpected)?;
@@ -624,7 +653,7 @@
 
     /// Tells others, unless it is this node's own word and it hears nobody.
     fn spread(&mut self, record: &Record, by: &Name) {
-        if self.deaf_since.is_none() || *by != self.me.name {
+        if !self.deaf || *by != self.me.name {
             self.rumours.add(record);
         }
     }
@@ -635,7 +664,7 @@
         self.live = None;
         self.sums = None;
         self.tally = None;
-        if self.deaf_since.is_none() || !matches!(record.tale, Tale::Dead) {
+        if !self.deaf || !matches!(record.tale, Tale::Dead) {
             self.rumours.add(record);
         }
         out.push(Action::Changed(Change::Member { name: record.name.clone(), was, is }));
@@ -899,12 +928,18 @@
             let should = peers.values().filter(|peer| !matches!(peer.state, State::Left { .. }));
             should.fold((1, 0), |(known, live), peer| (known + 1, live + usize::from(peer.is_live())))
         });
-        let of_live = |(name, _): &&(Name, bool)| peers.get(name).is_some_and(Peer::is_live);
+        // Deaths are in the count of the living; what a probe says of them would count twice.
+        let of_live =
+            |(name, _): &&(Name, bool)| !self.majority || peers.get(name).is_some_and(Peer::is_live);
         let (probed, reached) = self
             .samples
             .iter()
             .filter(of_live)
             .fold((0u32, 0u32), |(all, reached), (_, ok)| (all + 1, reached + u32::from(*ok)));
+        if !self.majority {
+            // Hearsay brings others back to life, but only who is reached both ways can be counted on.
+            return probed >= REGAIN_LEAST && 3 * reached >= 2 * probed && 2 * (1 + live) > known;
+        }
         let share = if probed < SAMPLES_LEAST { 1.0 } else { f64::from(reached) / f64::from(probed) };
         2.0 * (1.0 + live as f64 * share) > known as f64
     }
@@ -913,6 +948,8 @@
         let majority = self.hears_majority();
         if majority != self.majority {
             self.majority = majority;
+            self.samples.clear();
+            self.round.clear();
             out.push(Action::Changed(Change::Majority(majority)));
         }
     }
@@ -953,6 +990,16 @@
         self.peers.get(name).map(|peer| peer.state.name())
     }
 
+    /// Whether this node hears more than half of what should be there.
+    pub fn majority(&self) -> bool {
+        self.majority
+    }
+
+    /// Members that are alive, this node among them.
+    pub fn alive(&self) -> usize {
+        1 + self.peers.values().filter(|peer| peer.state == State::Alive).count()
+    }
+
     /// Whether this process takes part: it has neither left nor stood down.
     pub fn takes_part(&self) -> bool {
         self.part == Part::Takes
--- /dev/null
+++ b/crates/trial/src/catalogue.rs
@@ -0,0 +1,38 @@
+//! The trials that are kept, by name, with the text of their files.
+
+use crate::spec::Trial;
+
+/// All of them.
+pub const KEPT: &[(&str, &str)] = &[
+    ("all-heals-at-once", include_str!("../trials/all-heals-at-once.toml")),
+    ("bridge", include_str!("../trials/bridge.toml")),
+    ("calm-at-size", include_str!("../trials/calm-at-size.toml")),
+    ("clean-split", include_str!("../trials/clean-split.toml")),
+    ("deaths-at-size", include_str!("../trials/deaths-at-size.toml")),
+    ("disk-full", include_str!("../trials/disk-full.toml")),
+    ("disks-change", include_str!("../trials/disks-change.toml")),
+    ("flapping-link", include_str!("../trials/flapping-link.toml")),
+    ("herd", include_str!("../trials/herd.toml")),
+    ("herd-at-size", include_str!("../trials/herd-at-size.toml")),
+    ("lossy-fleet", include_str!("../trials/lossy-fleet.toml")),
+    ("lossy-hour", include_str!("../trials/lossy-hour.toml")),
+    ("machine-drops", include_str!("../trials/machine-drops.toml")),
+    ("one-way-split", include_str!("../trials/one-way-split.toml")),
+    ("paused-node", include_str!("../trials/paused-node.toml")),
+    ("repeats", include_str!("../trials/repeats.toml")),
+    ("roll-in-a-split", include_str!("../trials/roll-in-a-split.toml")),
+    ("slow-link", include_str!("../trials/slow-link.toml")),
+    ("split-at-size", include_str!("../trials/split-at-size.toml")),
+    ("strangers", include_str!("../trials/strangers.toml")),
+    ("throttled-link", include_str!("../trials/throttled-link.toml")),
+    ("zone-drops", include_str!("../trials/zone-drops.toml")),
+];
+
+/// A kept trial. The error names those that are there.
+pub fn find(name: &str) -> Result<Trial, String> {
+    let Some((_, text)) = KEPT.iter().find(|(kept, _)| *kept == name) else {
+        let kept: Vec<&str> = KEPT.iter().map(|(kept, _)| *kept).collect();
+        return Err(format!("no trial {name}; trials that are kept: {}", kept.join(", ")));
+    };
+    Trial::parse(text).map_err(|fault| format!("{name}:{fault}"))
+}
--- /dev/null
+++ b/crates/trial/src/disk.rs
@@ -0,0 +1,151 @@
+//! A disk that knows what is durable and loses the rest at a crash.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind};
+
+use merlinfold_store::Disk;
+use merlinfold_world::seed::{Seed, Stream};
+use rand::Rng;
+
+use crate::spec::{DiskFault, Kept};
+
+type Content = Vec<u8>;
+
+#[derive(Clone, Debug, Default)]
+struct State {
+    seen: BTreeMap<String, (Content, bool)>, // as a running process reads it, and whether the content is durable
+    durable: BTreeMap<String, Content>,      // as a crash leaves it
+    before: BTreeMap<String, Content>,       // the same at the start before
+    at_start: BTreeMap<String, Content>,
+    fault: Option<DiskFault>,
+}
+
+/// A modelled disk. What was not synced is torn at a drawn byte by a crash; a rename whose folder was not synced may
+/// or may not have happened.
+#[derive(Clone, Debug)]
+pub struct ModelDisk {
+    state: RefCell<State>,
+    stream: RefCell<Stream>,
+}
+
+impl ModelDisk {
+    /// An empty one.
+    pub fn new(seed: u64, number: u64) -> Self {
+        ModelDisk { state: RefCell::default(), stream: RefCell::new(Seed(seed).stream("disk", number)) }
+    }
+
+    /// From now on it does this wrong, or nothing.
+    pub fn set(&self, fault: Option<DiskFault>) {
+        self.state.borrow_mut().fault = fault;
+    }
+
+    /// The machine ends without a word.
+    pub fn crash(&self) {
+        let mut state = self.state.borrow_mut();
+        let mut stream = self.stream.borrow_mut();
+        let mut left = state.durable.clone();
+        for (name, (content, synced)) in &state.seen {
+            if state.durable.get(name) == Some(content) {
+                continue;
+            }
+            // The name may have reached the disk without the folder's sync; the content only as far as it got.
+            if stream.random::<bool>() {
+                let whole = if *synced { content.len() } else { stream.random_range(0..=content.len()) };
+                left.insert(name.clone(), content[..whole].to_vec());
+            }
+        }
+        state.seen = left.iter().map(|(name, content)| (name.clone(), (content.clone(), true))).collect();
+        state.durable = left;
+    }
+
+    /// What the next start finds. `other` is the disk of another node.
+    pub fn start(&self, kept: Kept, other: Option<&ModelDisk>) {
+        let mut state = self.state.borrow_mut();
+        let mut stream = self.stream.borrow_mut();
+        let mut found = match kept {
+            Kept::Empty => BTreeMap::new(),
+            Kept::Yesterday => state.before.clone(),
+            Kept::Foreign => other.map(|disk| disk.state.borrow().durable.clone()).unwrap_or_default(),
+            Kept::Kept | Kept::Torn | Kept::Flipped => state.durable.clone(),
+        };
+        for content in found.values_mut().filter(|content| !content.is_empty()) {
+            let at = stream.random_range(0..content.len());
+            match kept {
+                Kept::Torn => content.truncate(at),
+                Kept::Flipped => content[at] ^= 1 << stream.random_range(0..8),
+                _ => {}
+            }
+        }
+        state.before = std::mem::replace(&mut state.at_start, found.clone());
+        state.seen = found.iter().map(|(name, content)| (name.clone(), (content.clone(), true))).collect();
+        state.durable = found;
+    }
+}
+
+impl Disk for ModelDisk {
+    fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        let state = self.state.borrow();
+        match state.fault {
+            Some(DiskFault::Gone) => Err(ErrorKind::NotADirectory.into()),
+            _ => Ok(state.seen.get(name).map(|(content, _)| content.clone())),
+        }
+    }
+
+    fn write(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let mut state = self.state.borrow_mut();
+        match state.fault {
+            Some(DiskFault::Gone) => Err(ErrorKind::NotADirectory.into()),
+            Some(DiskFault::Full) => {
+                state.seen.insert(name.to_owned(), (Vec::new(), false));
+                Err(ErrorKind::StorageFull.into())
+            }
+            _ => {
+                state.seen.insert(name.to_owned(), (bytes.to_vec(), false));
+                Ok(())
+            }
+        }
+    }
+
+    fn sync(&self, name: &str) -> io::Result<()> {
+        let mut state = self.state.borrow_mut();
+        match state.fault {
+            Some(DiskFault::Gone) => return Err(ErrorKind::NotADirectory.into()),
+            Some(DiskFault::SyncFails) => return Err(io::Error::other("the device reports an error")),
+            Some(DiskFault::SyncLies) => return Ok(()),
+            _ => {}
+        }
+        if let Some((_, synced)) = state.seen.get_mut(name) {
+            *synced = true;
+        }
+        Ok(())
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        let mut state = self.state.borrow_mut();
+        if state.fault == Some(DiskFault::Gone) {
+            return Err(ErrorKind::NotADirectory.into());
+        }
+        let content = state.seen.remove(from).ok_or(ErrorKind::NotFound)?;
+        state.seen.insert(to.to_owned(), content);
+        Ok(())
+    }
+
+    fn sync_folder(&self) -> io::Result<()> {
+        let mut state = self.state.borrow_mut();
+        match state.fault {
+            Some(DiskFault::Gone) => return Err(ErrorKind::NotADirectory.into()),
+            Some(DiskFault::SyncFails) => return Err(io::Error::other("the device reports an error")),
+            Some(DiskFault::SyncLies) => return Ok(()),
+            _ => {}
+        }
+        let state = &mut *state;
+        let old = std::mem::take(&mut state.durable);
+        for (name, (content, synced)) in &state.seen {
+            // A name is durable now; its content only if it was synced.
+            let content = if *synced { content.clone() } else { old.get(name).cloned().unwrap_or_default() };
+            state.durable.insert(name.clone(), content);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/trial/src/html.rs
@@ -0,0 +1,81 @@
+//! A timeline page: faults as bands, each node's view, service under it.
+
+use std::fmt::Write;
+
+use crate::report::Report;
+
+const WIDTH: f64 = 1_100.0;
+const ROW: f64 = 14.0;
+const LEFT: f64 = 150.0;
+const ROWS_MOST: usize = 100; // nodes that are drawn
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+/// The page; it needs nothing else.
+pub fn page(report: &Report) -> String {
+    let trial = &report.trial;
+    let x = |at: f64| LEFT + (WIDTH - LEFT) * (at / trial.seconds).clamp(0.0, 1.0);
+    let nodes = trial.fleet.nodes.min(ROWS_MOST);
+    let height = ROW * (trial.faults.len() + nodes + 8) as f64;
+    let mut svg =
+        format!("<svg width=\"{WIDTH}\" height=\"{height}\" font-family=\"sans-serif\" font-size=\"10\">\n");
+    let mut y = ROW;
+    let mut put = |line: String| {
+        let _ = writeln!(svg, "{line}");
+    };
+    for fault in &trial.faults {
+        let (from, to) = (x(fault.at), x(fault.lasts.map_or(trial.seconds, |lasts| fault.at + lasts)));
+        let what = serde_json::to_string(&fault.what).unwrap_or_default();
+        put(format!(
+            "<rect x=\"{from:.1}\" y=\"{y:.1}\" width=\"{:.1}\" height=\"{:.1}\" fill=\"#e8a0a0\"><title>{}</title></rect>\
+             <text x=\"2\" y=\"{:.1}\">{}</text>",
+            (to - from).max(2.0),
+            ROW - 3.0,
+            escape(&what),
+            y + ROW - 5.0,
+            escape(&what.chars().take(26).collect::<String>())
+        ));
+        y += ROW;
+    }
+    y += ROW;
+    for node in 0..nodes {
+        put(format!(
+            "<text x=\"2\" y=\"{:.1}\">n{node} ({})</text>",
+            y + ROW - 5.0,
+            escape(&trial.machine(node))
+        ));
+        for (moment, next) in report.moments.iter().zip(report.moments.iter().skip(1)) {
+            let Some(alive) = moment.alive.get(node).copied().flatten() else { continue };
+            let share = alive as f64 / trial.fleet.nodes as f64;
+            let (red, green) = ((200.0 * (1.0 - share)) as u8 + 40, (160.0 * share) as u8 + 60);
+            put(format!(
+                "<rect x=\"{:.1}\" y=\"{y:.1}\" width=\"{:.1}\" height=\"{:.1}\" fill=\"rgb({red},{green},90)\"><title>sees {alive} at {} s</title></rect>",
+                x(moment.at),
+                x(next.at) - x(moment.at) + 0.5,
+                ROW - 3.0,
+                moment.at
+            ));
+        }
+        y += ROW;
+    }
+    y += ROW;
+    for moment in &report.moments {
+        let Some(served) = moment.served else { continue };
+        put(format!(
+            "<rect x=\"{:.1}\" y=\"{:.1}\" width=\"3\" height=\"{:.1}\" fill=\"#4060c0\"><title>served {served:.3} at {} s</title></rect>",
+            x(moment.at),
+            y + 4.0 * ROW * (1.0 - served),
+            4.0 * ROW * served,
+            moment.at
+        ));
+    }
+    put(format!("<text x=\"2\" y=\"{:.1}\">served</text>", y + 2.0 * ROW));
+    svg.push_str("</svg>");
+    format!(
+        "<!doctype html><meta charset=\"utf-8\"><title>{0}</title><h1>{0}</h1><pre>{1}</pre>\n{svg}\n",
+        escape(&report.name),
+        escape(&report.text())
+    )
+}
--- /dev/null
+++ b/crates/trial/src/lib.rs
@@ -0,0 +1,31 @@
+//! Trials of a whole fleet: what fails between its processes, by one schedule on two clocks, and the laws that have
+//! to hold all the while.
+//!
+//! A [`Trial`] says how large the fleet is, how its network is and what fails when. Its seed draws it into timed
+//! [`schedule::Step`]s. [`virtual_time`] plays them around the product's own pure machines on a modelled network and
+//! disk; the lab plays the same steps on processes. Either tells the [`laws`] what happens, and they judge.
+//!
+//! Nothing here does input or output or reads a clock. It shows nothing of the kernel, of sockets or of processor
+//! time: that is what the other clock is for.
+//!
+//! ```
+//! let trial = merlinfold_trial::catalogue::find("machine-drops").unwrap();
+//! let first = merlinfold_trial::virtual_time::play("machine-drops", &trial, None).unwrap();
+//! let again = merlinfold_trial::virtual_time::play("machine-drops", &trial, None).unwrap();
+//! assert_eq!(first.breaches, []);
+//! assert_eq!(first.json(), again.json());
+//! ```
+
+pub mod catalogue;
+pub mod disk;
+pub mod doubles;
+pub mod html;
+pub mod laws;
+pub mod link;
+pub mod report;
+pub mod schedule;
+pub mod shrink;
+pub mod spec;
+pub mod virtual_time;
+
+pub use spec::Trial;
