Put membership on a socket and a disk, with its console page, figures and command

Need: operators want to see who is there; later parts want the view as one more input.

Change: merlinfold-fleet plays the machine on UDP, counts starts and keeps addresses on a disk that nothing waits for; [fleet] in merlinfold.toml switches it on; /fleet/members, fleet_* figures and merlinfold fleet members show the view. Off without the table: no socket, no task, no line.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -1,5 +1,6 @@
 //! The command line: the one source of help, completions and manual.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use clap::{Parser, Subcommand};
@@ -34,6 +35,11 @@
         #[arg(required = true, value_name = "FILE")]
         files: Vec<PathBuf>,
     },
+    /// Ask a running node about its fleet.
+    Fleet {
+        #[command(subcommand)]
+        ask: Ask,
+    },
     /// Print completions for a shell.
     Completions {
         /// Which one.
@@ -42,3 +48,17 @@
     /// Print the manual page, for man(1).
     Manual,
 }
+
+/// What to ask.
+#[derive(Debug, Subcommand)]
+pub enum Ask {
+    /// Who is there, as this one node sees it; another's view may differ.
+    Members {
+        /// The node's console; else the one that BALANCER_CONSOLE names.
+        #[arg(long, value_name = "ADDRESS")]
+        console: Option<SocketAddr>,
+        /// As JSON, with the version of its form.
+        #[arg(long)]
+        json: bool,
+    },
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod command;
+mod fleet;
 mod log;
 mod serve;
 
@@ -9,13 +10,14 @@
 
 use clap::{CommandFactory, Parser};
 
-use crate::command::{Cli, Command};
+use crate::command::{Ask, Cli, Command};
 
 fn main() -> ExitCode {
     let ended = match Cli::parse().command {
         None => serve::node(None),
         Some(Command::Node { config }) => serve::node(config.as_deref()),
         Some(Command::Check { files }) => check::files(&files),
+        Some(Command::Fleet { ask: Ask::Members { console, json } }) => fleet::members(console, json),
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Cli::command(), "merlinfold", &mut std::io::stdout());
             Ok(())
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -14,6 +14,8 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
@@ -25,6 +27,82 @@
 pub struct Config {
     /// What is logged, and how.
     pub log: Log,
+    /// The fleet that the node belongs to; none: it knows nobody.
+    pub fleet: Option<Fleet>,
+}
+
+/// Bytes of a name at most, as it travels between nodes.
+pub const WORD_MOST: usize = 64;
+
+/// A name that travels between nodes: neither empty nor over [`WORD_MOST`] bytes.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(try_from = "String")]
+pub struct Word(String);
+
+impl TryFrom<String> for Word {
+    type Error = String;
+
+    fn try_from(word: String) -> Result<Self, String> {
+        match word.len() {
+            1..=WORD_MOST => Ok(Word(word)),
+            length => Err(format!("{length} bytes; 1 to {WORD_MOST} are possible")),
+        }
+    }
+}
+
+impl Word {
+    /// It.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+/// The fleet that a node belongs to.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(try_from = "FleetTable")]
+pub struct Fleet {
+    /// Which fleet: nodes of others are not heard.
+    pub cluster: Word,
+    /// Where this process hears datagrams.
+    pub listen: SocketAddr,
+    /// Where others reach it, if that is elsewhere.
+    pub advertise: Option<SocketAddr>,
+    /// Zone that the node runs in.
+    pub zone: Word,
+    /// Machine that it runs on.
+    pub machine: Word,
+    /// Where others may be found.
+    pub seeds: Vec<SocketAddr>,
+    /// Folder that lasts longer than the process; none: the node finds the fleet by its seeds alone.
+    pub folder: Option<PathBuf>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FleetTable {
+    cluster: Word,
+    listen: SocketAddr,
+    advertise: Option<SocketAddr>,
+    zone: Word,
+    machine: Word,
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
+    folder: Option<PathBuf>,
+}
+
+impl TryFrom<FleetTable> for Fleet {
+    type Error = String;
+
+    fn try_from(table: FleetTable) -> Result<Self, String> {
+        let FleetTable { cluster, listen, advertise, zone, machine, seeds, folder } = table;
+        if advertise.unwrap_or(listen).ip().is_unspecified() {
+            return Err("advertise: needed where listen names no address that others reach".to_owned());
+        }
+        if advertise.is_some_and(|at| at.port() == 0) || seeds.iter().any(|at| at.port() == 0) {
+            return Err("advertise, seeds: port 0 reaches nobody".to_owned());
+        }
+        Ok(Fleet { cluster, listen, advertise, zone, machine, seeds, folder })
+    }
 }
 
 /// What is logged, and how.
@@ -141,9 +219,21 @@
         let plain = EXAMPLE.lines().map(|line| line.strip_prefix("#= ").unwrap_or(line));
         let config: Config = parse(&plain.collect::<Vec<_>>().join("\n")).unwrap();
         let modules = BTreeMap::from([("merlinfold_node::upstream".to_owned(), Level::Debug)]);
-        assert_eq!(config, Config { log: Log { modules, ..Log::default() } });
+        let word = |word: &str| Word::try_from(word.to_owned()).unwrap();
+        let at = |at: &str| at.parse().unwrap();
+        let fleet = Fleet {
+            cluster: word("cpt-guides"),
+            listen: at("0.0.0.0:7946"),
+            advertise: Some(at("10.0.0.4:7946")),
+            zone: word("a"),
+            machine: word("rack-3"),
+            seeds: vec![at("10.0.0.5:7946"), at("10.0.1.5:7946")],
+            folder: Some("/var/lib/merlinfold".into()),
+        };
+        assert_eq!(config, Config { log: Log { modules, ..Log::default() }, fleet: Some(fleet) });
         assert_eq!(parse::<Config>(EXAMPLE).unwrap(), Config::default());
-        for key in ["format", "level", "[log.modules]"] {
+        let of_fleet = ["cluster", "listen", "advertise", "zone", "machine", "seeds", "folder"];
+        for key in ["format", "level", "[log.modules]", "[fleet]"].into_iter().chain(of_fleet) {
             assert!(EXAMPLE.contains(key), "{key}");
         }
     }
@@ -155,6 +245,15 @@
             ("\n\nlogs = 1", Some(3), "logs"),
             ("[log]\nformat = 3", Some(2), "log.format"),
             ("[log\n", Some(1), ""),
+            ("[fleet]\ncluster = \"\"\n", Some(2), "fleet.cluster"),
+            ("[fleet]\ncluster = \"c\"\nlisten = \"here\"\n", Some(3), "fleet.listen"),
+            ("[fleet]\ncluster = \"c\"\nseed = []\n", Some(3), "fleet.seed"),
+            ("[fleet]\ncluster = \"c\"\n", Some(1), "fleet"),
+            (
+                "[fleet]\ncluster = \"c\"\nlisten = \"0.0.0.0:1\"\nzone = \"a\"\nmachine = \"m\"\n",
+                Some(1),
+                "fleet",
+            ),
         ] {
             let fault = parse::<Config>(text).unwrap_err();
             assert_eq!((fault.line, fault.field.as_str()), (line, field), "{text}: {fault}");
--- /dev/null
+++ b/crates/fleet/src/run.rs
@@ -0,0 +1,246 @@
+//! The machine on a socket.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use merlinfold_membership::{
+    Action, Change, Event, Identity, Membership, Nanos, Profile, Tuning, DATAGRAM_MOST,
+};
+use socket2::{Domain, Socket, Type};
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep_until, Instant};
+use tracing::{debug, info, warn};
+
+use crate::keeper::Keeper;
+use crate::snapshot::Snapshot;
+use crate::Settings;
+
+const READ_AT_ONCE: usize = 64; // datagrams between two looks at the time and at the rest of the process
+const TELL_EVERY: Duration = Duration::from_secs(1); // a snapshot at least
+const TELL_SOONEST: Duration = Duration::from_millis(100); // between two that tell of changes
+const REPORT_EVERY: Duration = Duration::from_secs(5); // between lines of the log
+const SAVE_EVERY: Duration = Duration::from_secs(5); // between writes of the view, while it changes
+const CHANGES_LOGGED: usize = 8; // names in a line of the log
+
+/// A node's part in its fleet, with its socket open.
+pub struct Fleet {
+    settings: Settings,
+    socket: UdpSocket,
+    seen: watch::Sender<Snapshot>,
+}
+
+impl Fleet {
+    /// Opens the socket. Two processes of a node may share the address while one takes over from the other.
+    pub fn open(settings: Settings) -> io::Result<(Self, watch::Receiver<Snapshot>)> {
+        let socket = Socket::new(Domain::for_address(settings.listen), Type::DGRAM, None)?;
+        socket.set_reuse_port(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&settings.listen.into())?;
+        let socket = UdpSocket::from_std(socket.into())?;
+        let (seen, sees) = watch::channel(Snapshot { me: settings.name.clone(), ..Snapshot::default() });
+        Ok((Fleet { settings, socket, seen }, sees))
+    }
+
+    /// Where it hears datagrams.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Takes part until told to leave, and ends when others have been told, or when another process of this name
+    /// keeps it. Not to be dropped half-way if others are to learn of the leaving at once.
+    pub async fn run(self, mut leave: watch::Receiver<bool>) {
+        let Fleet { settings, socket, seen } = self;
+        let keeper = settings.folder.clone().map(|at| Keeper::new(at, &settings.name, &settings.cluster));
+        let saved = match &keeper {
+            Some(keeper) => keeper.start().await,
+            None => Default::default(),
+        };
+        let own = match socket.local_addr() {
+            Ok(at) => settings.advertise.unwrap_or(at),
+            Err(error) => return warn!(%error, "fleet: no address of its own: this node takes no part"),
+        };
+        let mut seeds = settings.seeds.clone();
+        seeds.extend(&saved.addresses);
+        let run = saved.run(fastrand::u32(..));
+        let identity = Identity {
+            cluster: settings.cluster.as_str().into(),
+            name: settings.name.as_str().into(),
+            run,
+            profile: Profile {
+                zone: settings.zone.as_str().into(),
+                machine: settings.machine.as_str().into(),
+                address: own,
+                version: env!("CARGO_PKG_VERSION").into(),
+                protocols: (merlinfold_membership::VERSION, merlinfold_membership::VERSION),
+            },
+            seeds,
+        };
+        info!(cluster = settings.cluster, address = %own, starts = saved.starts, known = saved.addresses.len(), "fleet: joining");
+        let mut part = Part {
+            machine: Membership::new(identity, Tuning::default(), fastrand::u64(..), 0),
+            begun: Instant::now(),
+            me: settings.name,
+            socket,
+            seen,
+            told: Instant::now(),
+            changed: true,
+            changes: VecDeque::new(),
+            uncounted: 0,
+            reported: Instant::now(),
+        };
+        let mut saving =
+            Saving { keeper, starts: saved.starts, last: Instant::now(), dirty: false, under_way: None };
+        part.play(&mut leave, &mut saving).await;
+        part.tell();
+    }
+}
+
+/// The view on its way to the disk.
+struct Saving {
+    keeper: Option<Keeper>,
+    starts: u32,
+    last: Instant,
+    dirty: bool,
+    under_way: Option<JoinHandle<()>>, // at most one
+}
+
+impl Saving {
+    fn save(&mut self, machine: &Membership) {
+        let busy = self.under_way.as_ref().is_some_and(|task| !task.is_finished());
+        let Some(keeper) =
+            self.keeper.clone().filter(|_| self.dirty && !busy && self.last.elapsed() >= SAVE_EVERY)
+        else {
+            return;
+        };
+        (self.dirty, self.last) = (false, Instant::now());
+        let (starts, addresses) = (self.starts, machine.addresses());
+        self.under_way = Some(tokio::spawn(async move {
+            if let Err(fault) = keeper.save(starts, addresses).await {
+                warn!(%fault, "fleet: the view was not kept; what was kept before still is");
+            }
+        }));
+    }
+}
+
+struct Part {
+    machine: Membership,
+    begun: Instant,
+    me: String,
+    socket: UdpSocket,
+    seen: watch::Sender<Snapshot>,
+    told: Instant,
+    changed: bool,
+    changes: VecDeque<String>,
+    uncounted: usize,
+    reported: Instant,
+}
+
+impl Part {
+    /// Monotonic: a clock that is set does not move it.
+    fn now(&self) -> Nanos {
+        self.begun.elapsed().as_nanos() as Nanos
+    }
+
+    async fn play(&mut self, leave: &mut watch::Receiver<bool>, saving: &mut Saving) {
+        let mut buffer = [0; DATAGRAM_MOST + 1];
+        let mut leaving = false;
+        while let Some(due) = self.machine.due() {
+            let wake = (self.begun + Duration::from_nanos(due)).min(self.told + TELL_EVERY);
+            tokio::select! {
+                ready = self.socket.readable() => {
+                    if ready.is_ok() {
+                        self.read(&mut buffer);
+                    }
+                }
+                () = sleep_until(wake) => self.handle(Event::Tick),
+                // A sender that is gone is a process that ends.
+                _ = leave.wait_for(|leave| *leave), if !leaving => {
+                    leaving = true;
+                    self.handle(Event::Leave);
+                }
+            }
+            saving.dirty |= self.changed;
+            let soonest = if self.changed { TELL_SOONEST } else { TELL_EVERY };
+            if self.told.elapsed() >= soonest {
+                self.tell();
+            }
+            saving.save(&self.machine);
+            self.report();
+        }
+    }
+
+    fn read(&mut self, buffer: &mut [u8; DATAGRAM_MOST + 1]) {
+        for _ in 0..READ_AT_ONCE {
+            match self.socket.try_recv_from(buffer) {
+                Ok((length, from)) => self.handle(Event::Datagram { from, bytes: &buffer[..length] }),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                // What an earlier datagram met on its way comes back here; it ends nothing.
+                Err(error) => debug!(%error, "fleet: socket"),
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.machine.handle(self.now(), event, &mut out);
+        for action in out {
+            match action {
+                Action::Send { to, bytes } => {
+                    // May be lost, as on the way: a full socket is no error.
+                    if let Err(error) = self.socket.try_send_to(&bytes, to) {
+                        debug!(%to, %error, "fleet: not sent");
+                    }
+                }
+                Action::Changed(change) => self.note(change),
+            }
+        }
+    }
+
+    fn note(&mut self, change: Change) {
+        self.changed = true;
+        match change {
+            Change::Member { name, is, .. } if self.changes.len() < CHANGES_LOGGED => {
+                self.changes.push_back(format!("{name} {is}"));
+            }
+            Change::Member { .. } => self.uncounted += 1,
+            Change::Majority(hears) => {
+                self.changes.push_back(if hears { "hears most" } else { "hears fewer than half" }.to_owned());
+            }
+            Change::StoodDown => {
+                warn!(name = self.me, "fleet: another process has this name and keeps it: this one takes no part and goes on serving");
+            }
+        }
+    }
+
+    fn tell(&mut self) {
+        (self.told, self.changed) = (Instant::now(), false);
+        self.seen.send_replace(Snapshot::of(&self.me, &self.machine, self.now()));
+    }
+
+    fn report(&mut self) {
+        if self.changes.is_empty() || self.reported.elapsed() < REPORT_EVERY {
+            return;
+        }
+        self.reported = Instant::now();
+        let changes: Vec<String> = self.changes.drain(..).collect();
+        let (more, sure) = (std::mem::take(&mut self.uncounted), self.machine.confidence(self.now()));
+        let counts = self.machine.counts();
+        let dropped: u64 = counts.faults.values().sum();
+        info!(
+            alive = sure.alive,
+            known = sure.known,
+            majority = sure.majority,
+            changes = changes.join(", "),
+            more,
+            accused = counts.accused,
+            refuted = counts.refuted,
+            held_up = counts.held_up,
+            dropped,
+            "fleet"
+        );
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -106,7 +106,7 @@
     let cli = Cli::parse();
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
     let ended = match cli.command {
-        Command::Node => merlinfold_node::process::run().map(|()| ExitCode::SUCCESS),
+        Command::Node => merlinfold_node::process::run(None).map(|()| ExitCode::SUCCESS),
         Command::List => experiments::KEPT
             .iter()
             .try_for_each(|(name, _)| {
--- a/crates/node/src/console.rs
+++ b/crates/node/src/console.rs
@@ -145,7 +145,7 @@
     let (head, body) = request.into_parts();
     let path = head.uri.path();
     let allowed = match path {
-        "/status" | "/status/metrics" => "GET, HEAD",
+        "/status" | "/status/metrics" | "/fleet/members" => "GET, HEAD",
         "/maintenance/enter" | "/maintenance/exit" | "/standby" | "/active" => "POST",
         _ => return Err(Refusal::new(StatusCode::NOT_FOUND, format!("no such call: {path:.100}"))),
     };
@@ -157,6 +157,7 @@
     let call = match path {
         "/status" => Call::Status,
         "/status/metrics" => Call::Figures,
+        "/fleet/members" => Call::Members,
         "/standby" => Call::Standby(true),
         "/active" => Call::Standby(false),
         _ => Call::Maintenance { member: member(path, body).await?, out: path.ends_with("/enter") },
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -12,7 +12,7 @@
 
 use crate::body::Budget;
 use crate::clock::Clock;
-use crate::figures::{End, Figures, Totals};
+use crate::figures::{self, End, Figures, Totals};
 use crate::handover::{Orders, Shared};
 use crate::input::{Arrival, Call, Input, Reply, Said};
 use crate::lifecycle::{Life, Order, Posture};
@@ -22,6 +22,7 @@
 use crate::upstream::{Answer, AnswerBody, Attempt, Ended, Outgoing, Pool, Server};
 use merlinfold_decide::interface::*;
 use merlinfold_decide::policy::Balancer;
+use merlinfold_fleet::Snapshot;
 use merlinfold_settings::{HostLimits, Listed, Names};
 
 const MARGIN: Nanos = 5_000_000; // before the client's time runs out, for the answer's way back
@@ -161,7 +162,8 @@
     inputs: UnboundedSender<Input>,
     watch: Arc<Notify>,
     peers: Option<Peers>,
-    servers: Vec<Arc<Server>>, // by number
+    fleet: Option<Box<Snapshot>>, // as last told; none: the node belongs to none
+    servers: Vec<Arc<Server>>,    // by number
     table: HashMap<RequestId, Open>,
     due: BinaryHeap<Reverse<(Nanos, Due)>>,
     events: VecDeque<Event>,
@@ -194,6 +196,7 @@
             inputs,
             watch,
             peers: None,
+            fleet: None,
             servers: Vec::new(),
             table: HashMap::new(),
             due: BinaryHeap::from([
@@ -282,6 +285,7 @@
                 let answer = self.call(call);
                 let _ = said.send(answer); // a caller that has left wants no answer
             }
+            Input::Fleet(fleet) => self.fleet = Some(fleet),
             Input::Terminate => {
                 self.order(Order::Terminate);
             }
@@ -297,8 +301,19 @@
             Call::Status => Said::NotNow("no server list yet".to_owned()),
             Call::Figures => {
                 let members = self.members.iter().filter(|member| **member).count();
-                Said::Yes(self.figures.text(members, self.balancer.avoided(self.clock.now())))
+                let mut text = self.figures.text(members, self.balancer.avoided(self.clock.now()));
+                if let Some(fleet) = &self.fleet {
+                    text.push_str(&figures::of_fleet(fleet));
+                }
+                Said::Yes(text)
             }
+            Call::Members => match &self.fleet {
+                Some(fleet) => match serde_json::to_string_pretty(fleet) {
+                    Ok(text) => Said::Yes(text + "\n"),
+                    Err(error) => Said::NotNow(format!("members: {error}")),
+                },
+                None => Said::Unknown("no fleet: merlinfold.toml has no [fleet]".to_owned()),
+            },
             Call::Maintenance { member, out } => self.maintenance(&member, out),
             Call::Standby(standby) => self.stand_by(standby),
         }
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
+use merlinfold_fleet::Snapshot;
 use merlinfold_settings::Numbering;
 
 /// How a request ended.
@@ -131,6 +132,22 @@
     }
 }
 
+/// What operators read of the fleet, in the same form.
+pub fn of_fleet(fleet: &Snapshot) -> String {
+    let mut text = String::new();
+    let mut line = |name: &str, value: u64| {
+        let _ = writeln!(text, "edge_balancer.fleet_{name}={value}"); // writing to a string cannot fail
+    };
+    line("members", fleet.alive as u64);
+    line("known", fleet.known as u64);
+    line("suspects", fleet.suspects as u64);
+    line("heard", fleet.heard as u64);
+    line("majority", fleet.majority.into());
+    line("takes_part", fleet.takes_part.into());
+    fleet.counts.iter().for_each(|(name, count)| line(name, *count));
+    text
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use merlinfold_decide::interface::{Nanos, RequestId};
+use merlinfold_fleet::Snapshot;
 use tokio::sync::oneshot;
 
 use crate::figures::End;
@@ -32,6 +33,8 @@
         from: u32,
         bytes: Vec<u8>,
     },
+    /// How this node sees its fleet now.
+    Fleet(Box<Snapshot>),
     /// An operator's call.
     Call {
         call: Call,
@@ -48,6 +51,8 @@
     Status,
     /// All counts.
     Figures,
+    /// The members of the fleet.
+    Members,
     /// Takes a server out, or puts it back.
     Maintenance { member: String, out: bool },
     /// Drains the node, or ends that.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,6 +33,8 @@
 use crate::clock::Clock;
 use merlinfold_decide::interface::{Discovery, Settings};
 use merlinfold_decide::policy::Balancer;
+pub use merlinfold_fleet::Settings as FleetSettings;
+use merlinfold_fleet::{Fleet, Snapshot};
 use merlinfold_settings::{Env, HostLimits, Names};
 
 const MEMORY_LEAST: f64 = 32.0; // MB; taken where the configuration does not say
@@ -119,6 +121,7 @@
     inputs: mpsc::UnboundedReceiver<input::Input>,
     peers: Option<peers::Peers>,
     discovery: discovery::Watcher,
+    fleet: Option<(Fleet, watch::Receiver<Snapshot>)>,
     moves: watch::Sender<SocketAddr>,
     name: String,
 }
@@ -161,7 +164,17 @@
         driver.known(config.known.unwrap_or_default());
         let opens = driver.posture().borrow().opens;
         let door = front::Door::new(socket, opens).map_err(cannot("listen", config.listen))?;
-        Ok(Node { door, front, driver, console, inputs, peers, discovery, moves, name: config.name })
+        let (fleet, name) = (None, config.name);
+        Ok(Node { door, front, driver, console, inputs, peers, discovery, fleet, moves, name })
+    }
+
+    /// Lets the node take part in a fleet under its own name. Serving waits for nothing that the fleet does.
+    pub fn join(&mut self, fleet: FleetSettings) -> Result<(), String> {
+        let at = fleet.listen;
+        let fleet = FleetSettings { name: self.name.clone(), ..fleet };
+        let opened = Fleet::open(fleet).map_err(|error| format!("fleet.listen: cannot use {at}: {error}"))?;
+        self.fleet = Some(opened);
+        Ok(())
     }
 
     /// Where operators call, if anywhere.
@@ -193,8 +206,14 @@
         if let Some(console) = self.console {
             parts.spawn(console::serve(console, sender.clone()));
         }
+        let (leave, leaves) = watch::channel(false);
+        if let Some((fleet, seen)) = self.fleet {
+            parts.spawn(fleet.run(leaves));
+            parts.spawn(pass_on(seen, sender.clone()));
+        }
         let stop = async move {
             stop.await;
+            leave.send_replace(true);
             let _ = sender.send(input::Input::Terminate); // a driver that is gone has nothing to stop
             std::future::pending::<()>().await
         };
@@ -202,7 +221,28 @@
         tokio::select! {
             () = Arc::new(self.front).serve(self.door) => info!("stopped"),
             () = stop => {}
-            Some(Err(fault)) = parts.join_next() => std::panic::resume_unwind(fault.into_panic()),
+            fault = first_fault(&mut parts) => std::panic::resume_unwind(fault.into_panic()),
+        }
+    }
+}
+
+/// Waits for a part that panics; one that ends by itself, as the fleet's does when it has left, is no fault.
+async fn first_fault(parts: &mut tokio::task::JoinSet<()>) -> tokio::task::JoinError {
+    loop {
+        match parts.join_next().await {
+            Some(Err(fault)) => return fault,
+            Some(Ok(())) => {}
+            None => std::future::pending().await,
+        }
+    }
+}
+
+/// Brings the driver what the fleet's part sees; what has been overtaken in the meantime is not told.
+async fn pass_on(mut seen: watch::Receiver<Snapshot>, inputs: mpsc::UnboundedSender<input::Input>) {
+    loop {
+        let snapshot = Box::new(seen.borrow_and_update().clone());
+        if inputs.send(input::Input::Fleet(snapshot)).is_err() || seen.changed().await.is_err() {
+            return;
         }
     }
 }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -7,11 +7,11 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tracing::warn;
 
-use crate::{Config, Node, Reloader};
+use crate::{Config, FleetSettings, Node, Reloader};
 
 /// Serves from the file that `BALANCER_CONFIG` names until SIGTERM. Errors are one line that names what is
-/// missing or wrong.
-pub fn run() -> Result<(), String> {
+/// missing or wrong. `fleet` is the fleet to take part in, if any.
+pub fn run(fleet: Option<FleetSettings>) -> Result<(), String> {
     let path = std::env::var("BALANCER_CONFIG").map_err(|error| format!("BALANCER_CONFIG: {error}"))?;
     let text = read(&path)?;
     let mut config = Config::parse(&text).map_err(|fault| format!("configuration: {fault}"))?;
@@ -23,9 +23,12 @@
         let mut terminated = signal(SignalKind::terminate()).map_err(|error| format!("SIGTERM: {error}"))?;
         let hangup = signal(SignalKind::hangup()).map_err(|error| format!("SIGHUP: {error}"))?;
         let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty());
-        let node = Node::bind(config, folder.as_ref().map(Path::new))
+        let mut node = Node::bind(config, folder.as_ref().map(Path::new))
             .await
             .map_err(|fault| format!("configuration: {fault}"))?;
+        if let Some(fleet) = fleet {
+            node.join(fleet)?;
+        }
         let stop = async move {
             terminated.recv().await;
         };
