Play trials on processes of the program, with relays in all links

Need: one schedule on two clocks: what holds in virtual time has to be seen on sockets, processes and files.

Change: the lab starts the program N times with a disk each; relays stand in every link (datagrams between nodes, connections to guide servers, to discovery and from clients) and cut, reset, delay, thin, throttle and repeat by the same steps; processes are killed, stopped, continued and started with their disk, an empty, yesterday's, a torn, a flipped or another's; disks are full or gone. Views come from the consoles, requests are judged by the ledger.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,29 +8,5 @@
 mod run;
 mod snapshot;
 
-use std::net::SocketAddr;
-use std::path::PathBuf;
-
 pub use run::Fleet;
 pub use snapshot::{MemberLine, Snapshot, ZoneLine, SCHEMA};
-
-/// What an operator sets.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Settings {
-    /// Which fleet.
-    pub cluster: String,
-    /// The node's name.
-    pub name: String,
-    /// Where this process hears datagrams.
-    pub listen: SocketAddr,
-    /// Where others reach it, if that is elsewhere.
-    pub advertise: Option<SocketAddr>,
-    /// Zone that the node runs in.
-    pub zone: String,
-    /// Machine that it runs on.
-    pub machine: String,
-    /// Where others may be found.
-    pub seeds: Vec<SocketAddr>,
-    /// Folder of its own that lasts; none: it finds the fleet by its seeds alone.
-    pub folder: Option<PathBuf>,
-}
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use merlinfold_config::Fleet as Settings;
 use merlinfold_membership::{
     Action, Change, Event, Identity, Membership, Nanos, Profile, Tuning, DATAGRAM_MOST,
 };
@@ -17,7 +18,6 @@
 
 use crate::keeper::Keeper;
 use crate::snapshot::Snapshot;
-use crate::Settings;
 
 const READ_AT_ONCE: usize = 64; // datagrams between two looks at the time and at the rest of the process
 const TELL_EVERY: Duration = Duration::from_secs(1); // a snapshot at least
@@ -28,21 +28,23 @@
 
 /// A node's part in its fleet, with its socket open.
 pub struct Fleet {
+    name: String,
     settings: Settings,
     socket: UdpSocket,
     seen: watch::Sender<Snapshot>,
 }
 
 impl Fleet {
-    /// Opens the socket. Two processes of a node may share the address while one takes over from the other.
-    pub fn open(settings: Settings) -> io::Result<(Self, watch::Receiver<Snapshot>)> {
+    /// Opens the socket of the node of this name. Two processes of a node may share the address while one takes over
+    /// from the other.
+    pub fn open(name: &str, settings: Settings) -> io::Result<(Self, watch::Receiver<Snapshot>)> {
         let socket = Socket::new(Domain::for_address(settings.listen), Type::DGRAM, None)?;
         socket.set_reuse_port(true)?;
         socket.set_nonblocking(true)?;
         socket.bind(&settings.listen.into())?;
         let socket = UdpSocket::from_std(socket.into())?;
-        let (seen, sees) = watch::channel(Snapshot { me: settings.name.clone(), ..Snapshot::default() });
-        Ok((Fleet { settings, socket, seen }, sees))
+        let (seen, sees) = watch::channel(Snapshot { me: name.to_owned(), ..Snapshot::default() });
+        Ok((Fleet { name: name.to_owned(), settings, socket, seen }, sees))
     }
 
     /// Where it hears datagrams.
@@ -53,8 +55,9 @@
     /// Takes part until told to leave, and ends when others have been told, or when another process of this name
     /// keeps it. Not to be dropped half-way if others are to learn of the leaving at once.
     pub async fn run(self, mut leave: watch::Receiver<bool>) {
-        let Fleet { settings, socket, seen } = self;
-        let keeper = settings.folder.clone().map(|at| Keeper::new(at, &settings.name, &settings.cluster));
+        let Fleet { name, settings, socket, seen } = self;
+        let cluster = settings.cluster.as_str();
+        let keeper = settings.folder.clone().map(|at| Keeper::new(at, &name, cluster));
         let saved = match &keeper {
             Some(keeper) => keeper.start().await,
             None => Default::default(),
@@ -67,8 +70,8 @@
         seeds.extend(&saved.addresses);
         let run = saved.run(fastrand::u32(..));
         let identity = Identity {
-            cluster: settings.cluster.as_str().into(),
-            name: settings.name.as_str().into(),
+            cluster: cluster.into(),
+            name: name.as_str().into(),
             run,
             profile: Profile {
                 zone: settings.zone.as_str().into(),
@@ -79,11 +82,11 @@
             },
             seeds,
         };
-        info!(cluster = settings.cluster, address = %own, starts = saved.starts, known = saved.addresses.len(), "fleet: joining");
+        info!(cluster, address = %own, starts = saved.starts, known = saved.addresses.len(), "fleet: joining");
         let mut part = Part {
             machine: Membership::new(identity, Tuning::default(), fastrand::u64(..), 0),
             begun: Instant::now(),
-            me: settings.name,
+            me: name,
             socket,
             seen,
             told: Instant::now(),
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,6 @@
 //! The `merlinfold-lab` command.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -86,7 +86,11 @@
     List,
     /// This program as a node, which is what the lab starts.
     #[command(hide = true)]
-    Node,
+    Node {
+        /// The product's own configuration.
+        #[arg(long)]
+        config: Option<PathBuf>,
+    },
 }
 
 #[derive(Debug, Args)]
@@ -106,7 +110,7 @@
     let cli = Cli::parse();
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
     let ended = match cli.command {
-        Command::Node => merlinfold_node::process::run(None).map(|()| ExitCode::SUCCESS),
+        Command::Node { config } => node(config.as_deref()).map(|()| ExitCode::SUCCESS),
         Command::List => experiments::KEPT
             .iter()
             .try_for_each(|(name, _)| {
@@ -121,6 +125,20 @@
     })
 }
 
+fn node(config: Option<&Path>) -> Result<(), String> {
+    let fleet = match config {
+        Some(path) => {
+            let text =
+                std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+            let config: merlinfold_config::Config =
+                merlinfold_config::parse(&text).map_err(|fault| format!("{}:{fault}", path.display()))?;
+            config.fleet
+        }
+        None => None,
+    };
+    merlinfold_node::process::run(fleet)
+}
+
 fn runtime() -> Result<tokio::runtime::Runtime, String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     runtime.map_err(|error| format!("runtime: {error}"))
@@ -159,7 +177,7 @@
         Command::Load(common) => load(&common).await,
         Command::Cost { common, against, pairs } => cost(&common, against.as_deref(), pairs).await,
         Command::Trial { command } => trial::command::carry_out(command).await,
-        Command::List | Command::Node => Ok(ExitCode::SUCCESS),
+        Command::List | Command::Node { .. } => Ok(ExitCode::SUCCESS),
     }
 }
 
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -57,13 +57,13 @@
 }
 
 /// A folder that is gone when the run is, unless it is to be kept.
-struct Folder {
-    path: PathBuf,
+pub(crate) struct Folder {
+    pub(crate) path: PathBuf,
     keep: bool,
 }
 
 impl Folder {
-    fn new(keep: Option<&PathBuf>) -> Result<Self, String> {
+    pub(crate) fn new(keep: Option<&PathBuf>) -> Result<Self, String> {
         use std::sync::atomic::{AtomicU32, Ordering};
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let own = || {
@@ -110,7 +110,7 @@
     let clock = Clock::default();
     let range = Arc::new(Range::claim()?);
     let (changes, mut changed) = mpsc::unbounded_channel();
-    let (servers, _stop) = Servers::start(&plan.day, seed, &clock, &range, changes)?;
+    let (servers, _stop) = Servers::start(&plan.day, seed, &clock, &range, &range, changes)?;
     let (load, wake, mut done) = Load::start(&plan.day, seed, &clock, &range);
     let folder = Folder::new(plan.logs.as_ref())?;
     let count = plan.day.nodes.count;
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -83,7 +83,11 @@
 
     /// Sends SIGTERM, or SIGKILL.
     pub fn signal(&self, kill: bool) {
-        let signal = if kill { Signal::KILL } else { Signal::TERM };
+        self.send(if kill { Signal::KILL } else { Signal::TERM });
+    }
+
+    /// Sends any signal.
+    pub fn send(&self, signal: Signal) {
         if let Some(id) = i32::try_from(self.id).ok().and_then(Pid::from_raw) {
             let _ = kill_process(id, signal); // it may have ended by itself meanwhile
         }
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -58,6 +58,7 @@
     fleet: Fleet,
     clock: Clock,
     range: Arc<Range>,
+    shown: Arc<Range>, // the addresses in lists: those of relays, where there are any
     gates: Vec<watch::Sender<(Gate, u64)>>,
     listeners: Vec<Vec<AbortHandle>>, // of each server, one for each node
     waiting: HashMap<u64, (usize, oneshot::Sender<Done>)>, // by attempt: its line in `runs`
@@ -90,9 +91,9 @@
 }
 
 impl Servers {
-    /// Opens all sockets in a thread of their own; what concerns others goes to `changes`.
+    /// Opens all sockets in a thread of their own, and shows lists with the addresses in `shown`; what concerns others goes to `changes`.
     pub fn start(
-        day: &Experiment, seed: Seed, clock: &Clock, range: &Arc<Range>,
+        day: &Experiment, seed: Seed, clock: &Clock, range: &Arc<Range>, shown: &Arc<Range>,
         changes: mpsc::UnboundedSender<(Nanos, Change)>,
     ) -> Result<(Self, oneshot::Sender<()>), String> {
         let wake = Arc::new(Notify::new());
@@ -103,6 +104,7 @@
             fleet: Fleet::new(day, seed),
             clock: clock.clone(),
             range: range.clone(),
+            shown: shown.clone(),
             gates: (0..count).map(|_| watch::channel((Gate::Open, 0)).0).collect(),
             listeners: (0..count).map(|_| Vec::new()).collect(),
             waiting: HashMap::new(),
@@ -190,7 +192,7 @@
         let listing = hub.fleet.list();
         hub.known_since.retain(|&(of, _), _| of != node);
         hub.note(node, &listing);
-        platform::list(&hub.day, &listing, node, &hub.range, &hub.clock)
+        platform::list(&hub.day, &listing, node, &hub.shown, &hub.clock)
     }
 
     /// What has been seen so far.
@@ -397,7 +399,7 @@
                 Some(listing) => {
                     let mut hub = self.lock();
                     hub.note(node, &listing);
-                    let list = platform::list(&hub.day, &listing, node, &hub.range, &hub.clock);
+                    let list = platform::list(&hub.day, &listing, node, &hub.shown, &hub.clock);
                     answer(200, "Content-Type: application/json\r\n", &list.to_string())
                 }
             };
--- a/crates/lab/src/trial/mod.rs
+++ b/crates/lab/src/trial/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod command;
 pub mod processes;
+pub mod relay;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,9 +31,9 @@
 use tracing::{info, warn};
 
 use crate::clock::Clock;
+use merlinfold_config::Fleet as FleetSettings;
 use merlinfold_decide::interface::{Discovery, Settings};
 use merlinfold_decide::policy::Balancer;
-pub use merlinfold_fleet::Settings as FleetSettings;
 use merlinfold_fleet::{Fleet, Snapshot};
 use merlinfold_settings::{Env, HostLimits, Names};
 
@@ -169,11 +169,10 @@
     }
 
     /// Lets the node take part in a fleet under its own name. Serving waits for nothing that the fleet does.
-    pub fn join(&mut self, fleet: FleetSettings) -> Result<(), String> {
-        let at = fleet.listen;
-        let fleet = FleetSettings { name: self.name.clone(), ..fleet };
-        let opened = Fleet::open(fleet).map_err(|error| format!("fleet.listen: cannot use {at}: {error}"))?;
-        self.fleet = Some(opened);
+    pub fn join(&mut self, settings: FleetSettings) -> Result<(), String> {
+        let at = settings.listen;
+        let opened = Fleet::open(&self.name, settings);
+        self.fleet = Some(opened.map_err(|error| format!("fleet.listen: cannot use {at}: {error}"))?);
         Ok(())
     }
 
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -7,11 +7,13 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tracing::warn;
 
-use crate::{Config, FleetSettings, Node, Reloader};
+use merlinfold_config::Fleet;
+
+use crate::{Config, Node, Reloader};
 
 /// Serves from the file that `BALANCER_CONFIG` names until SIGTERM. Errors are one line that names what is
 /// missing or wrong. `fleet` is the fleet to take part in, if any.
-pub fn run(fleet: Option<FleetSettings>) -> Result<(), String> {
+pub fn run(fleet: Option<Fleet>) -> Result<(), String> {
     let path = std::env::var("BALANCER_CONFIG").map_err(|error| format!("BALANCER_CONFIG: {error}"))?;
     let text = read(&path)?;
     let mut config = Config::parse(&text).map_err(|fault| format!("configuration: {fault}"))?;
--- a/crates/trial/src/laws.rs
+++ b/crates/trial/src/laws.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 
 use crate::schedule::{nanos, Do, Effect, Nodes};
-use crate::spec::Trial;
+use crate::spec::{Trial, SERVERS};
 
 /// Time after its own trouble from which on a node counts as untroubled.
 pub const GRACE: Nanos = 10 * SECOND;
@@ -88,7 +88,12 @@
                 troubled(*node);
             }
             Do::Begin { rule, from, to, effect } => {
-                self.rules.insert(*rule, (from.clone(), to.clone(), *effect));
+                // What a node misses of servers, discovery or clients takes nobody out of the fleet.
+                let nodes = |side: &Nodes| side.range(..SERVERS).copied().collect::<Nodes>();
+                let (from, to) = (nodes(from), nodes(to));
+                if !from.is_empty() && !to.is_empty() {
+                    self.rules.insert(*rule, (from, to, *effect));
+                }
             }
             Do::End(rule) => {
                 if let Some((from, to, _)) = self.rules.remove(rule).filter(|(.., effect)| effect.is_hard()) {
@@ -105,7 +110,9 @@
 
     fn cut(&self, from: usize, to: usize) -> bool {
         let mut rules = self.rules.values();
-        rules.any(|(a, b, effect)| *effect == Effect::Cut && a.contains(&from) && b.contains(&to))
+        rules.any(|(a, b, effect)| {
+            matches!(effect, Effect::Cut | Effect::Reset) && a.contains(&from) && b.contains(&to)
+        })
     }
 
     /// Nodes that reach each other, also through others, both ways, have the same number.
--- a/crates/trial/src/link.rs
+++ b/crates/trial/src/link.rs
@@ -9,6 +9,7 @@
 use crate::schedule::{Do, Effect, Nodes};
 use crate::spec::Network;
 
+const RESENT_MS: f64 = 200.0; // until what a connection lost is sent again
 const BURST_S: f64 = 0.1; // of its rate that a throttled link passes at once
 
 #[derive(Clone, Debug)]
@@ -54,7 +55,24 @@
 
     /// Whether nothing passes from one to the other.
     pub fn is_cut(&self, from: usize, to: usize) -> bool {
-        self.effects(from, to).any(|effect| effect == Effect::Cut)
+        self.effects(from, to).any(|effect| matches!(effect, Effect::Cut | Effect::Reset))
+    }
+
+    /// Whether connections between the two are reset.
+    pub fn is_reset(&self, one: usize, other: usize) -> bool {
+        self.effects(one, other).chain(self.effects(other, one)).any(|effect| effect == Effect::Reset)
+    }
+
+    /// How much longer a piece of a connection takes on its way.
+    pub fn lag(&mut self, from: usize, to: usize, bytes: usize) -> Nanos {
+        let effects: Vec<Effect> = self.effects(from, to).collect();
+        let ms = effects.into_iter().map(|effect| match effect {
+            Effect::Thin(loss) if self.stream.random::<f64>() < loss => RESENT_MS,
+            Effect::Delay(ms, more) => ms + more * self.stream.random::<f64>(),
+            Effect::Throttle(rate) => 1e3 * bytes as f64 / rate.max(1.0),
+            _ => 0.0,
+        });
+        millis(ms.sum())
     }
 
     /// What links from one to the other do beyond their usual.
@@ -74,7 +92,7 @@
         let effects: Vec<Effect> = self.effects(from, to).collect();
         for effect in effects {
             match effect {
-                Effect::Cut => return Vec::new(),
+                Effect::Cut | Effect::Reset => return Vec::new(),
                 Effect::Thin(loss) if self.stream.random::<f64>() < loss => return Vec::new(),
                 Effect::Delay(ms, more) => (base, jitter) = (base + ms, jitter + more),
                 Effect::Throttle(rate) => {
--- a/crates/trial/src/schedule.rs
+++ b/crates/trial/src/schedule.rs
@@ -6,7 +6,7 @@
 use merlinfold_world::{Nanos, SECOND};
 use rand::seq::SliceRandom;
 
-use crate::spec::{DiskFault, Kept, Side, Trial, What};
+use crate::spec::{DiskFault, Kept, Side, Trial, What, SERVERS};
 
 /// Nodes of one side.
 pub type Nodes = BTreeSet<usize>;
@@ -16,6 +16,8 @@
 pub enum Effect {
     /// Passes nothing.
     Cut,
+    /// Passes nothing, and resets connections.
+    Reset,
     /// Loses this share.
     Thin(f64),
     /// Takes longer: at least this, and up to this much more, in milliseconds.
@@ -30,7 +32,7 @@
     /// Whether a node may be held dead for it.
     pub fn is_hard(self) -> bool {
         match self {
-            Effect::Cut | Effect::Throttle(_) => true,
+            Effect::Cut | Effect::Reset | Effect::Throttle(_) => true,
             Effect::Thin(loss) => loss > 0.25,
             Effect::Delay(ms, jitter) => ms + jitter > 20.0,
             Effect::Duplicate(_) => false,
@@ -113,6 +115,11 @@
     }
 }
 
+/// Of a side those that are processes of the fleet.
+fn only_nodes(side: Nodes) -> Nodes {
+    side.into_iter().filter(|&end| end < SERVERS).collect()
+}
+
 /// All steps of a trial, in order of time; the same for the same seed.
 pub fn steps(trial: &Trial) -> Result<Vec<Step>, String> {
     let count = trial.fleet.nodes;
@@ -121,7 +128,7 @@
         // A stream for each fault: shrinking one away leaves the draws of the others.
         let mut stream = Seed(trial.seed).stream("fault", n as u64);
         let (begins, ends) = (nanos(fault.at), fault.lasts.map(|lasts| nanos(fault.at + lasts)));
-        let mut who = |side: &str| trial.members(side).map(|side| draw(side, count, &mut stream));
+        let mut ends_of = |side: &str| trial.members(side).map(|side| draw(side, count, &mut stream));
         let mut add = |at: Nanos, what: Do| steps.push(Step { at, what });
         let ends = |add: &mut dyn FnMut(Nanos, Do), what: Do| {
             if let Some(at) = ends {
@@ -130,14 +137,14 @@
         };
         let (from, to, effects) = match &fault.what {
             What::Kill { who: side, disk } => {
-                for node in who(side)? {
+                for node in only_nodes(ends_of(side)?) {
                     add(begins, Do::Kill(node));
                     ends(&mut add, Do::Start(node, *disk));
                 }
                 continue;
             }
             What::Roll { who: side, every } => {
-                for (turn, node) in who(side)?.into_iter().enumerate() {
+                for (turn, node) in only_nodes(ends_of(side)?).into_iter().enumerate() {
                     let at = begins + nanos(every * turn as f64);
                     add(at, Do::Stop(node));
                     add(at + nanos(0.7 * every), Do::Start(node, Kept::Kept));
@@ -145,28 +152,29 @@
                 continue;
             }
             What::Pause { who: side } => {
-                for node in who(side)? {
+                for node in only_nodes(ends_of(side)?) {
                     add(begins, Do::Pause(node));
                     ends(&mut add, Do::Continue(node));
                 }
                 continue;
             }
             What::Disk { who: side, does } => {
-                for node in who(side)? {
+                for node in only_nodes(ends_of(side)?) {
                     add(begins, Do::Disk(node, Some(*does)));
                     ends(&mut add, Do::Disk(node, None));
                 }
                 continue;
             }
             What::Cut { from, to, .. } => (from, to, Effect::Cut),
+            What::Reset { from, to } => (from, to, Effect::Reset),
             What::Thin { from, to, loss } => (from, to, Effect::Thin(*loss)),
             What::Delay { from, to, ms, jitter_ms } => (from, to, Effect::Delay(*ms, *jitter_ms)),
             What::Throttle { from, to, bytes_s } => (from, to, Effect::Throttle(*bytes_s)),
             What::Duplicate { from, to, share } => (from, to, Effect::Duplicate(*share)),
         };
         let one_way = matches!(&fault.what, What::Cut { one_way: true, .. });
-        let (mut left, mut right) = (who(from)?, who(to)?);
-        let rest = |of: &Nodes| (0..count).filter(|node| !of.contains(node)).collect::<Nodes>();
+        let (mut left, mut right) = (ends_of(from)?, ends_of(to)?);
+        let rest = |of: &Nodes| trial.ends().filter(|end| !of.contains(end)).collect::<Nodes>();
         if from == "rest" {
             left = rest(&right);
         }
--- a/crates/trial/src/spec.rs
+++ b/crates/trial/src/spec.rs
@@ -6,6 +6,13 @@
 /// Nodes of a trial at most.
 pub const NODES_MOST: usize = 2_000;
 
+/// Number of the first guide server among the ends of links.
+pub const SERVERS: usize = 100_000;
+/// Number of discovery.
+pub const DISCOVERY: usize = 200_000;
+/// Number of all clients.
+pub const CLIENTS: usize = 200_001;
+
 /// A trial.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -51,6 +58,9 @@
     /// Nodes whose addresses all are given as seeds.
     #[serde(default = "three")]
     pub seeds: usize,
+    /// Guide servers, dealt over the zones in turn; only processes have any.
+    #[serde(default = "six")]
+    pub servers: usize,
     /// Nodes of another fleet beside this one, which know the same seeds.
     #[serde(default)]
     pub strangers: usize,
@@ -60,6 +70,10 @@
     2
 }
 
+fn six() -> usize {
+    6
+}
+
 fn three() -> usize {
     3
 }
@@ -95,7 +109,8 @@
 }
 
 /// What goes wrong. `who`, `from` and `to` are `all`, `node:N`, `zone:NAME`, `machine:ZONE/N`, `share:0.3` (drawn)
-/// or `rest` (all that the other side is not).
+/// or `rest` (all that the other side is not). The ends of links are nodes, and in a zone its guide servers too;
+/// there are also `servers`, `server:N`, `discovery` and `clients`. In virtual time only links between nodes matter.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case", deny_unknown_fields)]
 pub enum What {
@@ -129,7 +144,14 @@
         #[serde(default)]
         one_way: bool,
     },
-    /// Links that lose datagrams.
+    /// Connections on the links are reset, also new ones; datagrams are lost.
+    Reset {
+        /// One side.
+        from: String,
+        /// The other.
+        to: String,
+    },
+    /// Links that lose datagrams; what is lost of a connection comes 200 ms later.
     Thin {
         /// One side.
         from: String,
@@ -265,6 +287,7 @@
                     vec![who]
                 }
                 What::Cut { from, to, .. }
+                | What::Reset { from, to }
                 | What::Thin { from, to, .. }
                 | What::Delay { from, to, .. }
                 | What::Throttle { from, to, .. }
@@ -280,7 +303,12 @@
         Ok(())
     }
 
-    /// Zone of a node.
+    /// Every node and guide server.
+    pub(crate) fn ends(&self) -> impl Iterator<Item = usize> {
+        (0..self.fleet.nodes).chain(SERVERS..SERVERS + self.fleet.servers)
+    }
+
+    /// Zone of a node, or of a guide server by its own number.
     pub fn zone(&self, node: usize) -> &str {
         &self.fleet.zones[node % self.fleet.zones.len()]
     }
@@ -293,6 +321,7 @@
     /// Whom a side means: nodes, or a share to be drawn.
     pub(crate) fn members(&self, side: &str) -> Result<Side, String> {
         let all = 0..self.fleet.nodes;
+        let servers = SERVERS..SERVERS + self.fleet.servers;
         let (kind, name) = side.split_once(':').unwrap_or((side, ""));
         let chosen: Vec<usize> = match kind {
             "rest" => return Ok(Side::Rest),
@@ -309,9 +338,16 @@
                 let node: usize = name.parse().map_err(|_| "no number".to_owned())?;
                 all.filter(|&n| n == node).collect()
             }
-            "zone" => all.filter(|&n| self.zone(n) == name).collect(),
+            "zone" => all.filter(|&n| self.zone(n) == name).chain(servers.filter(|&n| self.zone(n - SERVERS) == name)).collect(),
+            "servers" => servers.collect(),
+            "server" => {
+                let server: usize = name.parse().map_err(|_| "no number".to_owned())?;
+                servers.filter(|&n| n == SERVERS + server).collect()
+            }
+            "discovery" => vec![DISCOVERY],
+            "clients" => vec![CLIENTS],
             "machine" => all.filter(|&n| self.machine(n) == name).collect(),
-            _ => return Err("all, node:N, zone:NAME, machine:ZONE/N, share:S or rest".to_owned()),
+            _ => return Err("all, node:N, zone:NAME, machine:ZONE/N, share:S, rest, servers, server:N, discovery or clients".to_owned()),
         };
         if chosen.is_empty() {
             return Err("nobody is meant".to_owned());
