--- a/crates/lab/src/trial/processes.rs
+++ b/crates/lab/src/trial/processes.rs
@@ -270,7 +270,9 @@
                     process.signal(false);
                     self.lives.push((now, *node, Life::Stopped { killed: false }));
                     self.load.node(*node, Some(now + millis(self.day.nodes.notice_ms)));
-                    self.tasks.spawn(async move { drop(process.wait(END).await) });
+                    self.tasks.spawn(async move {
+                        let _ = process.wait(END).await; // its drop kills what is left by then
+                    });
                     // and then it is killed
                 }
             }
--- a/crates/trial/src/catalogue.rs
+++ b/crates/trial/src/catalogue.rs
@@ -11,6 +11,8 @@
     ("deaths-at-size", include_str!("../trials/deaths-at-size.toml")),
     ("disk-full", include_str!("../trials/disk-full.toml")),
     ("disks-change", include_str!("../trials/disks-change.toml")),
+    ("few-links", include_str!("../trials/few-links.toml")),
+    ("few-machines", include_str!("../trials/few-machines.toml")),
     ("flapping-link", include_str!("../trials/flapping-link.toml")),
     ("herd", include_str!("../trials/herd.toml")),
     ("herd-at-size", include_str!("../trials/herd-at-size.toml")),
