--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -73,6 +73,9 @@
         /// Command of what decides nothing; else the bare forwarder of this build.
         #[arg(long, value_name = "COMMAND")]
         against: Option<String>,
+        /// Instead: the node in a fleet with so many other members beside the same node without a fleet.
+        #[arg(long, value_name = "MEMBERS", conflicts_with = "against")]
+        fleet: Option<usize>,
         /// Pairs to play.
         #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=100))]
         pairs: u64,
@@ -175,7 +178,20 @@
         }
         Command::Compare { a, b, experiments, seeds } => compare(&a, &b, &experiments, seeds).await,
         Command::Load(common) => load(&common).await,
-        Command::Cost { common, against, pairs } => cost(&common, against.as_deref(), pairs).await,
+        Command::Cost { common, fleet: Some(members), pairs, .. } => {
+            let node = command(common.node.as_deref())?;
+            let (members, joined) = trial::members::start(members, &node).await?;
+            let ended = cost([joined, node], "in a fleet", "without", pairs).await;
+            members.end();
+            ended
+        }
+        Command::Cost { common, against, pairs, .. } => {
+            let own =
+                std::env::current_exe().map_err(|error| format!("cannot name this program: {error}"))?;
+            let bare = own.with_file_name("merlinfold-lab-forwarder").display().to_string();
+            let bare = NodeCommand::of(against.as_deref().unwrap_or(&bare))?;
+            cost([command(common.node.as_deref())?, bare], "node", "forwarder", pairs).await
+        }
         Command::Trial { command } => trial::command::carry_out(command).await,
         Command::List | Command::Node { .. } => Ok(ExitCode::SUCCESS),
     }
@@ -352,14 +368,19 @@
     Ok(ExitCode::SUCCESS)
 }
 
-async fn cost(common: &Common, against: Option<&str>, pairs: u64) -> Result<ExitCode, String> {
-    let own = std::env::current_exe().map_err(|error| format!("cannot name this program: {error}"))?;
-    let bare = own.with_file_name("merlinfold-lab-forwarder").display().to_string();
-    let commands = [command(common.node.as_deref())?, NodeCommand::of(against.unwrap_or(&bare))?];
+async fn cost(
+    commands: [NodeCommand; 2], one_is: &str, other_is: &str, pairs: u64,
+) -> Result<ExitCode, String> {
     let mut ratios = Vec::new();
-    println!("{:>4} {:>14} {:>14} {:>7}", "seed", "node us/req", "bare us/req", "ratio");
+    println!(
+        "{:>4} {:>18} {:>18} {:>7}  memory, MB",
+        "seed",
+        format!("{one_is}, us/req"),
+        format!("{other_is}, us/req"),
+        "ratio"
+    );
     for seed in 1..=pairs {
-        let mut figures = [0.0; 2];
+        let (mut figures, mut memory) = ([0.0; 2], [0.0; 2]);
         let order = if seed % 2 == 1 { [0, 1] } else { [1, 0] };
         for side in order {
             let mut day = plain(1_500.0, 6.0)?;
@@ -367,15 +388,19 @@
             let plan = Plan { name: format!("pair {seed}"), day, nodes: commands[side].clone(), logs: None };
             let played = one(plan).await?;
             let served = played.report.whole.served.max(1) as f64;
-            figures[side] = played.report.usage.first().map_or(0.0, |used| used.cpu_s) * 1e6 / served;
+            let used = played.report.usage.first().cloned().unwrap_or_default();
+            (figures[side], memory[side]) = (used.cpu_s * 1e6 / served, used.memory_mb);
         }
         let ratio = figures[0] / figures[1];
-        println!("{seed:>4} {:>14.1} {:>14.1} {ratio:>7.2}", figures[0], figures[1]);
+        println!(
+            "{seed:>4} {:>18.1} {:>18.1} {ratio:>7.3}  {:.1} {:.1}",
+            figures[0], figures[1], memory[0], memory[1]
+        );
         ratios.push(ratio);
     }
     ratios.sort_by(f64::total_cmp);
     println!(
-        "processor time of a served request over the forwarder's: median {:.2}, from {:.2} to {:.2}",
+        "processor time of a served request, {one_is} over {other_is}: median {:.3}, from {:.3} to {:.3}",
         ratios[ratios.len() / 2],
         ratios[0],
         ratios[ratios.len() - 1]
--- a/crates/lab/src/trial/mod.rs
+++ b/crates/lab/src/trial/mod.rs
@@ -1,5 +1,6 @@
 //! Trials on sockets and processes, and their command.
 
 pub mod command;
+pub mod members;
 pub mod processes;
 pub mod relay;
--- a/crates/lab/src/trial/processes.rs
+++ b/crates/lab/src/trial/processes.rs
@@ -273,7 +273,6 @@
                     self.tasks.spawn(async move {
                         let _ = process.wait(END).await; // its drop kills what is left by then
                     });
-                    // and then it is killed
                 }
             }
             Do::Start(node, kept) => {
