Limit file sizes as a fault of disks, and survive it; search seeds side by side

Need: a file that may not grow (setrlimit) kills a process that does not heed SIGXFSZ, and the lab's own node panicked when its log could not be written.

Change: a node in a fleet hears SIGXFSZ, so that a write fails and the node goes on; the fault limited sets the limit on the running process; the lab's node ignores errors of its log, as the product does. trial search plays seeds on all cores and tells the least that breaks.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -111,7 +111,9 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
+    // A node whose log cannot be written goes on all the same, as the product does.
+    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).log_internal_errors(false);
+    log.with_ansi(false).with_target(false).init();
     let ended = match cli.command {
         Command::Node { config } => node(config.as_deref()).map(|()| ExitCode::SUCCESS),
         Command::List => experiments::KEPT
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -93,6 +93,13 @@
         }
     }
 
+    /// Lets its files grow to so many bytes; none: without limit.
+    pub fn limit_files(&self, most: Option<u64>) -> std::io::Result<()> {
+        let id = i32::try_from(self.id).ok().and_then(Pid::from_raw);
+        let limit = rustix::process::Rlimit { current: most, maximum: None };
+        Ok(rustix::process::prlimit(id, rustix::process::Resource::Fsize, limit).map(drop)?)
+    }
+
     /// How it ended, if it has.
     pub fn ended(&mut self) -> Option<String> {
         self.child.try_wait().ok().flatten().map(|status| status.to_string())
--- a/crates/lab/src/trial/command.rs
+++ b/crates/lab/src/trial/command.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use clap::{Args, Subcommand};
 use merlinfold_trial::report::Report;
@@ -122,10 +123,30 @@
 
 fn search(name: &str, seeds: u64, nodes: Option<usize>, keep: Option<&Path>) -> Result<ExitCode, String> {
     let trial = find(name, None, nodes)?;
-    for seed in 1..=seeds {
-        let trial = Trial { seed, ..trial.clone() };
+    let with = |seed| Trial { seed, ..trial.clone() };
+    // Seeds are played side by side; what is told is the least that breaks, however they came to an end.
+    let (next, broken) = (AtomicU64::new(1), AtomicU64::new(u64::MAX));
+    let workers = std::thread::available_parallelism().map_or(1, usize::from);
+    std::thread::scope(|scope| {
+        let work = || loop {
+            let seed = next.fetch_add(1, Ordering::Relaxed);
+            if seed > seeds || broken.load(Ordering::Relaxed) < seed {
+                return Ok::<(), String>(());
+            }
+            if !virtual_time::play(name, &with(seed), None)?.breaches.is_empty() {
+                broken.fetch_min(seed, Ordering::Relaxed);
+            }
+        };
+        let started: Vec<_> = (0..workers).map(|_| scope.spawn(work)).collect();
+        started.into_iter().try_for_each(|worker| worker.join().map_err(|_| "a play panicked".to_owned())?)
+    })?;
+    let seed = broken.into_inner();
+    if seed <= seeds {
+        let trial = with(seed);
         let report = virtual_time::play(name, &trial, None)?;
-        let Some(law) = report.breaches.first().map(|breach| breach.law) else { continue };
+        let Some(law) = report.breaches.first().map(|breach| breach.law) else {
+            return Err(format!("seed {seed} broke a law and then did not: a fault of the player"));
+        };
         print!("{}", report.text());
         let breaks = |smaller: &Trial| {
             let played = virtual_time::play(name, smaller, None);
--- a/crates/lab/src/trial/members.rs
+++ b/crates/lab/src/trial/members.rs
@@ -51,6 +51,8 @@
     let (leave, leaves) = watch::channel(false);
     let (tell, told) = mpsc::channel();
     std::thread::spawn(move || {
+        // What hundreds of members say of each other is of no use here.
+        let _quiet = tracing::subscriber::set_default(tracing::subscriber::NoSubscriber::default());
         let _range = range; // held for as long as its addresses are in use
         let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else { return };
         runtime.block_on(async {
--- a/crates/lab/src/trial/processes.rs
+++ b/crates/lab/src/trial/processes.rs
@@ -391,6 +391,9 @@
                 let _ = std::fs::remove_file(&full);
                 std::os::unix::fs::symlink("/dev/full", &full)
             }),
+            Some(DiskFault::Limited) => {
+                self.nodes[node].as_ref().map_or(Ok(()), |process| process.limit_files(Some(0)))
+            }
             Some(DiskFault::Gone) => {
                 // A file where the folder was: nothing below it can be made, not by root either.
                 let _ = std::fs::rename(&disk, &aside);
@@ -405,6 +408,7 @@
                 Ok(())
             }
             None => {
+                let lifted = self.nodes[node].as_ref().map_or(Ok(()), |process| process.limit_files(None));
                 if std::fs::read_link(&full).is_ok() {
                     let _ = std::fs::remove_file(&full);
                 }
@@ -412,7 +416,7 @@
                     let _ = std::fs::remove_file(&disk);
                     let _ = std::fs::rename(&aside, &disk);
                 }
-                Ok(())
+                lifted
             }
         };
         done.map_err(|error| format!("disk of n{node}: {error}"))
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use tokio::signal::unix::{signal, Signal, SignalKind};
+use rustix::process::Signal;
+use tokio::signal::unix::{signal, Signal as Signals, SignalKind};
 use tracing::warn;
 
 use merlinfold_config::Fleet;
@@ -28,8 +29,13 @@
         let mut node = Node::bind(config, folder.as_ref().map(Path::new))
             .await
             .map_err(|fault| format!("configuration: {fault}"))?;
+        // Kept open for as long as the process runs: a file that may not grow is then an error of one write, not the
+        // end of the node.
+        let mut _limit = None;
         if let Some(fleet) = fleet {
             node.join(fleet)?;
+            let too_large = SignalKind::from_raw(Signal::XFSZ.as_raw());
+            _limit = Some(signal(too_large).map_err(|error| format!("SIGXFSZ: {error}"))?);
         }
         let stop = async move {
             terminated.recv().await;
@@ -55,7 +61,7 @@
 }
 
 /// Reads the configuration again at each signal; the node goes on with what it has if that fails.
-async fn reload(mut hangup: Signal, path: &str, reloader: Reloader) {
+async fn reload(mut hangup: Signals, path: &str, reloader: Reloader) {
     while hangup.recv().await.is_some() {
         if let Err(fault) = read(path).and_then(|text| reloader.reload(&text)) {
             warn!(fault, "configuration not read again: the one before stays");
--- a/crates/trial/src/catalogue.rs
+++ b/crates/trial/src/catalogue.rs
@@ -11,6 +11,7 @@
     ("deaths-at-size", include_str!("../trials/deaths-at-size.toml")),
     ("disk-full", include_str!("../trials/disk-full.toml")),
     ("disks-change", include_str!("../trials/disks-change.toml")),
+    ("disks-go-bad", include_str!("../trials/disks-go-bad.toml")),
     ("few-links", include_str!("../trials/few-links.toml")),
     ("few-machines", include_str!("../trials/few-machines.toml")),
     ("flapping-link", include_str!("../trials/flapping-link.toml")),
--- a/crates/trial/src/disk.rs
+++ b/crates/trial/src/disk.rs
@@ -96,9 +96,10 @@
         let mut state = self.state.borrow_mut();
         match state.fault {
             Some(DiskFault::Gone) => Err(ErrorKind::NotADirectory.into()),
-            Some(DiskFault::Full) => {
+            Some(fault @ (DiskFault::Full | DiskFault::Limited)) => {
                 state.seen.insert(name.to_owned(), (Vec::new(), false));
-                Err(ErrorKind::StorageFull.into())
+                let limited = fault == DiskFault::Limited;
+                Err(if limited { ErrorKind::FileTooLarge } else { ErrorKind::StorageFull }.into())
             }
             _ => {
                 state.seen.insert(name.to_owned(), (bytes.to_vec(), false));
--- a/crates/trial/src/spec.rs
+++ b/crates/trial/src/spec.rs
@@ -224,6 +224,8 @@
 pub enum DiskFault {
     /// Takes no more.
     Full,
+    /// No file may grow (setrlimit of the file size).
+    Limited,
     /// Its folder cannot be written or read.
     Gone,
     /// Fails to make durable, and says so.
