--- /dev/null
+++ b/crates/cli/tests/fleet.rs
@@ -0,0 +1,184 @@
+//! Processes of the program that take part in a fleet, seen through its own command.
+
+mod common;
+
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Instant;
+
+use common::*;
+use serde_json::{json, Value};
+
+/// A free UDP address.
+fn datagrams() -> SocketAddr {
+    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+struct Member {
+    child: Child,
+    address: SocketAddr,
+    console: SocketAddr,
+    log: Arc<Mutex<String>>,
+}
+
+impl Member {
+    fn start(folder: &Folder, file: &str, name: &str, fleet: SocketAddr, seed: SocketAddr) -> Self {
+        let console = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let mut config = config("127.0.0.1:9".parse().unwrap(), &[]);
+        config["name"] = json!(name);
+        config["console"] = json!(console);
+        let place = |ending: &str| folder.0.join(format!("{file}.{ending}"));
+        std::fs::write(place("json"), config.to_string()).unwrap();
+        let table = format!(
+            "[fleet]\ncluster = \"test\"\nlisten = \"{fleet}\"\nzone = \"a\"\nmachine = \"{file}\"\n\
+             seeds = [\"{seed}\"]\nfolder = {:?}\n",
+            place("disk").display().to_string()
+        );
+        std::fs::write(place("toml"), table).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_merlinfold"));
+        command.args(["node", "--config"]).arg(place("toml"));
+        command.env("BALANCER_CONFIG", place("json")).env_remove("TMPDIR").stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+        let serving = lines.find(|line| line.contains("serving")).expect("it serves");
+        let address = serving.rsplit("address=").next().unwrap().trim().parse().unwrap();
+        let log = Arc::new(Mutex::new(String::new()));
+        let written = log.clone();
+        thread::spawn(move || lines.for_each(|line| *written.lock().unwrap() += &(line + "\n")));
+        Member { child, address, console, log }
+    }
+
+    fn ask(&self, more: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_merlinfold"));
+        command
+            .args(["fleet", "members", "--console", &self.console.to_string()])
+            .args(more)
+            .output()
+            .unwrap()
+    }
+
+    fn view(&self) -> Value {
+        let told = self.ask(&["--json"]);
+        serde_json::from_slice(&told.stdout).unwrap_or(Value::Null)
+    }
+
+    /// Waits until its view is as wanted.
+    fn wait_for(&self, what: &str, wanted: impl Fn(&Value) -> bool) -> Value {
+        let begun = Instant::now();
+        loop {
+            let view = self.view();
+            if wanted(&view) {
+                return view;
+            }
+            assert!(begun.elapsed() < PATIENCE, "{what}: {view:#}\n{}", self.log.lock().unwrap());
+        }
+    }
+
+    fn serves(&self) -> bool {
+        let mut front = Client::connect(self.address);
+        front.write("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        front.read().is_some_and(|answer| answer.status() == 200)
+    }
+
+    fn signal(&self, name: &str) {
+        let told = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        assert!(told.unwrap().success());
+    }
+}
+
+impl Drop for Member {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn state_of<'a>(view: &'a Value, name: &str) -> &'a str {
+    let members = view["members"].as_array().into_iter().flatten();
+    members
+        .clone()
+        .find(|line| line["name"] == name)
+        .and_then(|line| line["state"].as_str())
+        .unwrap_or("unknown")
+}
+
+/// Guards what operators read: who is there, who left, who died, in a table and as JSON, and the figures.
+#[test]
+fn members_are_listed_with_what_became_of_them() {
+    let folder = Folder::new("fleet-members");
+    let seed = datagrams();
+    let one = Member::start(&folder, "one", "one", seed, seed);
+    let mut two = Member::start(&folder, "two", "two", datagrams(), seed);
+    let three = Member::start(&folder, "three", "three", datagrams(), seed);
+    let alive = |count: u64| move |view: &Value| view["alive"] == count;
+    for member in [&one, &two, &three] {
+        let view = member.wait_for("all three are there", alive(3));
+        assert_eq!((&view["schema"], &view["majority"]), (&json!(1), &json!(true)));
+    }
+    let table = String::from_utf8(one.ask(&[]).stdout).unwrap();
+    assert!(
+        table.starts_with("one: 3 of 3 alive, 0 suspect; hears most of the fleet\nzone a: 3 alive"),
+        "{table}"
+    );
+    two.signal("TERM");
+    assert!(two.child.wait().unwrap().success());
+    one.wait_for("two has left", |view| state_of(view, "two") == "left");
+    three.signal("KILL");
+    let view = one.wait_for("three is dead", |view| state_of(view, "three") == "dead");
+    assert_eq!((&view["known"], &view["majority"]), (&json!(2), &json!(false)), "one of two is not most");
+    let mut console = Client::connect(one.console);
+    console.write(&call("GET", "/status/metrics", ""));
+    let figures = String::from_utf8(console.read().unwrap().body).unwrap();
+    assert!(
+        figures.contains("edge_balancer.fleet_members=1\n")
+            && figures.contains("edge_balancer.fleet_majority=0\n")
+    );
+    let back = Member::start(&folder, "three", "three", datagrams(), seed);
+    back.wait_for("it finds the fleet again", alive(2));
+    one.wait_for("and is there again, on another address", |view| state_of(view, "three") == "alive");
+}
+
+/// Guards a name that two processes have: the later start by its disk keeps it, the other says so and serves on.
+#[test]
+fn of_two_processes_with_one_name_one_stands_down_and_serves_on() {
+    let folder = Folder::new("fleet-twins");
+    let seed = datagrams();
+    let one = Member::start(&folder, "one", "one", seed, seed);
+    let old = Member::start(&folder, "twin", "twin", datagrams(), seed);
+    old.wait_for("two are there", |view| view["alive"] == 2);
+    let new = Member::start(&folder, "twin", "twin", datagrams(), seed); // the same disk: a later start
+    old.wait_for("the old one stands down", |view| view["takes_part"] == false);
+    new.wait_for("the new one takes part", |view| view["takes_part"] == true && view["alive"] == 2);
+    assert!(old.serves() && new.serves() && one.serves());
+    assert!(old.log.lock().unwrap().contains("another process has this name"));
+    assert_eq!(state_of(&one.wait_for("one name", |view| view["alive"] == 2), "twin"), "alive");
+}
+
+#[test]
+fn a_node_without_a_fleet_and_a_fault_in_its_table_are_named() {
+    let folder = Folder::new("fleet-none");
+    let (_told, discovery) = Discovery::start(&[]);
+    let mut config = config(discovery.address, &[]);
+    config["console"] = json!("127.0.0.1:0");
+    let running = Running::start(&config);
+    let answer = running.call("GET", "/fleet/members", "");
+    assert_eq!(answer.status(), 404);
+    assert!(String::from_utf8(answer.body).unwrap().contains("no [fleet]"));
+    let toml = folder.0.join("bad.toml");
+    std::fs::write(&toml, "[fleet]\ncluster = \"c\"\nlisten = \"nowhere\"\n").unwrap();
+    let merlinfold = |arguments: &[&str]| {
+        let out = Command::new(env!("CARGO_BIN_EXE_merlinfold")).args(arguments).output().unwrap();
+        (out.status.code(), String::from_utf8(out.stderr).unwrap())
+    };
+    let path = toml.to_str().unwrap();
+    for arguments in [&["check", path][..], &["node", "--config", path]] {
+        let (code, says) = merlinfold(arguments);
+        assert_eq!(code, Some(1));
+        assert!(says.contains("bad.toml:3: fleet.listen"), "{says}");
+    }
+    let (code, says) = merlinfold(&["fleet", "members", "--console", "127.0.0.1:9"]);
+    assert!(code == Some(1) && says.contains("127.0.0.1:9"), "{says}");
+}
