Ask a suspect itself before it is held dead, and contradict again whoever missed it

Each node tells a rumour 18 times; about one observer in a million hears of an accusation and not of its contradiction, and of some three accusations a second that makes two an hour. Ruled out: accusers (four failed probes each) and times to refute (all others heard in time).

Change: at the end of its time a suspect is asked three times by the observer itself; a member that is told what it has contradicted answers with what holds.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -85,6 +85,8 @@
         #[command(subcommand)]
         command: trial::command::Command,
     },
+    /// Let clients ask again as soon as they are answered or refused, beside a bare forwarder.
+    Closed(merlinfold_lab::closed::Closed),
     /// List the kept experiments and what they ask.
     List,
     /// This program as a node, which is what the lab starts.
@@ -194,6 +196,7 @@
             let bare = NodeCommand::of(against.as_deref().unwrap_or(&bare))?;
             cost([command(common.node.as_deref())?, bare], "node", "forwarder", pairs).await
         }
+        Command::Closed(closed) => merlinfold_lab::closed::run(&closed).await,
         Command::Trial { command } => trial::command::carry_out(command).await,
         Command::List | Command::Node { .. } => Ok(ExitCode::SUCCESS),
     }
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -15,6 +15,8 @@
 /// Its own timers this late tell a node that it was held up.
 pub const HELD_UP: Nanos = 100 * MS;
 const TRIES: u8 = 3; // of a probe: one alone, two with helpers
+const LAST_WORDS: u8 = 3; // times that a suspect is asked itself before it is held dead
+const LAST_WORD: u64 = 0; // number of such a probe: the contradiction counts, not the answer
 const SLOW_MOST: u64 = 8; // times longer that a node in doubt of itself takes, beside the once
 const SAMPLES: usize = 12; // probes by which a node judges how much of the fleet it hears
 const SAMPLES_LEAST: u32 = 6; // fewer say nothing
@@ -143,6 +145,7 @@
     numbers: u64,
     flood: Nanos,
     reactions: u32,
+    contradicts: bool, // what the datagram at hand holds of this node is out of date
     counts: Counts,
 }
 
@@ -193,6 +196,7 @@
             numbers: 0,
             flood: now,
             reactions: 0,
+            contradicts: false,
             counts: Counts::default(),
             tuning,
         }
@@ -461,6 +465,7 @@
             peer.heard = Some(now);
         }
         self.counts.heard += 1;
+        self.contradicts = false;
         (self.heard_any, self.deaf) = (now, false);
         for record in &records {
             self.learn(now, record, Some(&envelope.from), out);
@@ -471,7 +476,10 @@
         let who = Some(&envelope.from);
         let gossiped = matches!(envelope.body, Body::Gossip);
         match envelope.body {
-            Body::Ping { probe } => self.send(who, from, Body::Ack { probe }, &[], out),
+            Body::Ping { probe } => {
+                let own: Vec<Record> = self.contradicts.then(|| self.record()).into_iter().collect();
+                self.send(who, from, Body::Ack { probe }, &own, out);
+            }
             Body::Ack { probe } => self.acked(now, &envelope.from, probe, out)?,
             Body::Ask { probe, target, address } => {
                 if self.asked.len() >= ASKS_MOST {
@@ -509,6 +517,9 @@
     }
 
     fn acked(&mut self, now: Nanos, from: &Name, number: u64, out: &mut Vec<Action>) -> Result<(), Fault> {
+        if number == LAST_WORD {
+            return Ok(());
+        }
         if let Some(probe) = self.probe.take_if(|probe| {
             probe.number == number && (probe.target == *from || probe.helpers.contains(from))
         }) {
@@ -633,7 +644,7 @@
             }
             return;
         }
-        peer.state = State::Suspect { since: now, accusers: vec![by.clone()] };
+        peer.state = State::Suspect { since: now, accusers: vec![by.clone()], last_words: None };
         self.suspects.insert(record.name.clone());
         // Some of those who hear of it look for themselves, which is what confirms a death soon.
         let checks = by != self.me.name && self.rng.usize(0..live.max(1)) < self.tuning.checkers;
@@ -689,7 +700,10 @@
                     return;
                 }
             }
-            _ if record.incarnation < self.incarnation => return,
+            _ if record.incarnation < self.incarnation => {
+                self.contradicts = true; // again, to whom the first time did not reach
+                return;
+            }
             Tale::Suspect { .. } | Tale::Dead if !other => {
                 self.slow = (self.slow + 1).min(SLOW_MOST);
                 self.counts.refuted += 1;
@@ -720,8 +734,19 @@
             .cloned()
             .collect();
         for name in over {
-            self.suspects.remove(&name);
+            let until = now + self.tuning.answer_within * (1 + self.slow);
             let Some(peer) = self.peers.get_mut(&name) else { continue };
+            if let State::Suspect { last_words, .. } = &mut peer.state {
+                let (asked, _) = last_words.unwrap_or((0, now));
+                if asked < LAST_WORDS {
+                    // Its contradiction may be what did not come here: whoever is asked with an accusation that it
+                    // has contradicted answers with what holds.
+                    *last_words = Some((asked + 1, until));
+                    self.send_to(&name, Body::Ping { probe: LAST_WORD }, &[], out);
+                    continue;
+                }
+            }
+            self.suspects.remove(&name);
             peer.state = State::Dead { since: now, sure: self.majority };
             let record = Record { name, incarnation: peer.incarnation, run: peer.run, tale: Tale::Dead };
             self.changed(&record, Some("suspect"), "dead", out);
--- a/crates/membership/src/peer.rs
+++ b/crates/membership/src/peer.rs
@@ -20,6 +20,8 @@
         since: Nanos,
         /// By whom, each once.
         accusers: Vec<Name>,
+        /// How often it was asked itself since its time was over, and until when it has to answer the last time.
+        last_words: Option<(u8, Nanos)>,
     },
     /// It did not refute in time.
     Dead {
@@ -118,7 +120,10 @@
     /// When its time to refute is over, if it is accused. `wanted` further accusers shorten that to the least
     /// (Lifeguard's formula); `slow` counts how much longer this node takes over everything.
     pub fn deadline(&self, tuning: &Tuning, wanted: usize, slow: u64) -> Option<Nanos> {
-        let State::Suspect { since, accusers } = &self.state else { return None };
+        let State::Suspect { since, accusers, last_words } = &self.state else { return None };
+        if let Some((_, until)) = last_words {
+            return Some(*until);
+        }
         let further = accusers.len().saturating_sub(1) as f64;
         let share = if wanted == 0 { 1.0 } else { (further + 1.0).ln() / (wanted as f64 + 1.0).ln() };
         let (least, most) = (tuning.refute_least as f64, tuning.refute_most as f64);
@@ -142,8 +147,11 @@
 
     /// Moves what is pending by a time in which this node did nothing.
     pub fn shift(&mut self, by: Nanos) {
-        if let State::Suspect { since, .. } = &mut self.state {
+        if let State::Suspect { since, last_words, .. } = &mut self.state {
             *since = since.saturating_add(by);
+            if let Some((_, until)) = last_words {
+                *until = until.saturating_add(by);
+            }
         }
     }
 }
