Take no number that its member could not contradict

Cause: a record with the greatest number there is would have been taken, and its member's contradiction have run over: found by rereading, in of_myself.

Change: numbers from 2^48 on make a datagram malformed.

--- a/crates/membership/src/record.rs
+++ b/crates/membership/src/record.rs
@@ -11,6 +11,9 @@
 /// Bytes of a name, zone, machine or version at most.
 pub const WORD_MOST: usize = 64;
 
+/// Number of a member at most: it rises by one with each contradiction, so no honest one ever comes near.
+pub const INCARNATION_MOST: u64 = 1 << 48;
+
 /// What a member says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Profile {
@@ -73,10 +76,11 @@
         (self.incarnation, self.tale.rank(), self.run)
     }
 
-    /// Whether no word in it is longer than allowed.
+    /// Whether no word in it is longer than allowed, and no number so high that its member could not contradict it.
     pub fn is_proper(&self) -> bool {
         let fits = |word: &Name| !word.is_empty() && word.len() <= WORD_MOST;
-        fits(&self.name)
+        self.incarnation < INCARNATION_MOST
+            && fits(&self.name)
             && match &self.tale {
                 Tale::Alive(profile) => {
                     let of_itself = [&profile.zone, &profile.machine, &profile.version];
