Keep the count of starts on a disk that cannot be read, and play stores that fail and lie

Need: a read of fleet.mf that failed was taken for nothing kept, and the write after it began the count of starts anew; failing and lying syncs, lost names and slow disks were played in virtual time only or not at all; an upgrade on one UDP address was untested.

Change: how a node takes up and replaces what it keeps is one pure piece on any disk (membership's Keeping), used by the program and in virtual time; after a failed read nothing is written over the file. The lab's own node runs on a store that holds back, loses and tears what was not made durable when its process ends, as told by a file beside the disk (trial few-disks: sync-fails, sync-lies, names-lost, read-fails, slow). 'Starts only rise' is a law on both clocks now. cost plays both sides of a pair at the same time.

--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -8,5 +8,5 @@
 pub fn node(product: Option<&Path>) -> Result<(), String> {
     let config = product.map(check::product).transpose()?.unwrap_or_default();
     log::start(&config.log);
-    merlinfold_node::process::run(config.fleet)
+    merlinfold_node::process::run(config.fleet, merlinfold_fleet::Disks::default())
 }
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -5,13 +5,17 @@
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use common::*;
 use serde_json::{json, Value};
 
+/// In which a node that was held gone would be seen to be.
+const SOON: Duration = Duration::from_secs(4);
+
 /// A free UDP address.
 fn datagrams() -> SocketAddr {
     UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
@@ -26,8 +30,15 @@
 
 impl Member {
     fn start(folder: &Folder, file: &str, name: &str, fleet: SocketAddr, seed: SocketAddr) -> Self {
+        Self::start_as(folder, file, name, fleet, seed, config("127.0.0.1:9".parse().unwrap(), &[]))
+    }
+
+    /// With a configuration of the platform's own; two that are given the same front share it.
+    fn start_as(
+        folder: &Folder, file: &str, name: &str, fleet: SocketAddr, seed: SocketAddr, mut config: Value,
+    ) -> Self {
         let console = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        let mut config = config("127.0.0.1:9".parse().unwrap(), &[]);
+        let shared = config["listen"] != "127.0.0.1:0";
         config["name"] = json!(name);
         config["console"] = json!(console);
         let place = |ending: &str| folder.0.join(format!("{file}.{ending}"));
@@ -41,6 +52,9 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_merlinfold"));
         command.args(["node", "--config"]).arg(place("toml"));
         command.env("BALANCER_CONFIG", place("json")).env_remove("TMPDIR").stderr(Stdio::piped());
+        if shared {
+            command.env("TMPDIR", &folder.0);
+        }
         let mut child = command.spawn().unwrap();
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
         let serving = lines.find(|line| line.contains("serving")).expect("it serves");
@@ -157,6 +171,67 @@
     assert_eq!(state_of(&one.wait_for("one name", |view| view["alive"] == 2), "twin"), "alive");
 }
 
+/// Guards an upgrade of a node that takes part in a fleet: both processes have its addresses for a while, so that the
+/// kernel deals what comes to one or the other. Clients are served, nobody holds the node dead, and the new one is it.
+#[test]
+fn an_upgrade_on_the_same_addresses_keeps_the_node_in_its_fleet() {
+    const PEERS: usize = 4;
+    let server = Server::start(|_| Then::Write(answer(200, "", "pong")));
+    let known = [("s", server.address)];
+    let (_told, discovery) = Discovery::start(&known);
+    let folder = Folder::new("fleet-upgrade");
+    let seed = datagrams();
+    let first = Member::start(&folder, "p0", "p0", seed, seed);
+    let others =
+        (1..PEERS).map(|n| Member::start(&folder, &format!("p{n}"), &format!("p{n}"), datagrams(), seed));
+    let peers: Vec<Member> = [first].into_iter().chain(others).collect();
+    let mut shared = config(discovery.address, &known);
+    shared["listen"] = json!(TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap());
+    let own = datagrams();
+    let start = || Member::start_as(&folder, "up", "up", own, seed, shared.clone());
+    let mut old = start();
+    for member in peers.iter().chain([&old]) {
+        member.wait_for("all are there", |view| view["alive"] == PEERS + 1);
+    }
+    let front = old.address;
+    let done = Arc::new(AtomicBool::new(false));
+    let over = done.clone();
+    let asking = thread::spawn(move || {
+        let (mut served, mut turned_back) = (0, 0);
+        while !over.load(Ordering::Relaxed) {
+            match Client::try_ask(front, "read") {
+                Some(answer) => {
+                    assert_eq!(answer.status(), 200);
+                    served += 1;
+                }
+                None => turned_back += 1, // the moment in which a listener closes
+            }
+        }
+        (served, turned_back)
+    });
+    let before = old.view()["run"].as_u64();
+    let new = start();
+    new.wait_for("the new one is in", |view| view["alive"] == PEERS + 1 && view["takes_part"] == true);
+    old.signal("TERM");
+    assert!(old.child.wait().unwrap().success());
+    assert!(new.view()["run"].as_u64() > before, "a later start");
+    // Whoever had thought it gone would say so by now or soon: an accusation takes seconds at most.
+    let begun = Instant::now();
+    while begun.elapsed() < SOON {
+        for peer in &peers {
+            let view = peer.view();
+            let is = state_of(&view, "up");
+            assert!(matches!(is, "alive" | "suspect"), "{is}: {view:#}");
+        }
+    }
+    for member in peers.iter().chain([&new]) {
+        member.wait_for("all are there still", |view| view["alive"] == PEERS + 1);
+    }
+    done.store(true, Ordering::Relaxed);
+    let (served, turned_back) = asking.join().unwrap();
+    assert!(served > 0 && turned_back <= 1, "{served} served, {turned_back} turned back");
+}
+
 #[test]
 fn a_node_without_a_fleet_and_a_fault_in_its_table_are_named() {
     let folder = Folder::new("fleet-none");
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,5 +8,6 @@
 mod run;
 mod snapshot;
 
+pub use keeper::Disks;
 pub use run::Fleet;
 pub use snapshot::{MemberLine, Snapshot, ZoneLine, SCHEMA};
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -7,7 +7,7 @@
 
 use merlinfold_config::Fleet as Settings;
 use merlinfold_membership::{
-    Action, Change, Event, Identity, Membership, Nanos, Profile, Tuning, DATAGRAM_MOST,
+    Action, Change, Event, Identity, Membership, Nanos, Profile, Tuning, DATAGRAM_MOST, SAVE_EVERY,
 };
 use socket2::{Domain, Socket, Type};
 use tokio::net::UdpSocket;
@@ -16,14 +16,13 @@
 use tokio::time::{sleep_until, Instant};
 use tracing::{debug, info, warn};
 
-use crate::keeper::Keeper;
+use crate::keeper::{Disks, Keeper};
 use crate::snapshot::Snapshot;
 
 const READ_AT_ONCE: usize = 64; // datagrams between two looks at the time and at the rest of the process
 const TELL_EVERY: Duration = Duration::from_secs(1); // a snapshot at least
 const TELL_SOONEST: Duration = Duration::from_millis(100); // between two that tell of changes
 const REPORT_EVERY: Duration = Duration::from_secs(5); // between lines of the log
-const SAVE_EVERY: Duration = Duration::from_secs(5); // between writes of the view, while it changes
 const CHANGES_LOGGED: usize = 8; // names in a line of the log
 
 /// A node's part in its fleet, with its socket open.
@@ -32,6 +31,7 @@
     settings: Settings,
     socket: UdpSocket,
     seen: watch::Sender<Snapshot>,
+    disks: Disks,
 }
 
 impl Fleet {
@@ -44,7 +44,12 @@
         socket.bind(&settings.listen.into())?;
         let socket = UdpSocket::from_std(socket.into())?;
         let (seen, sees) = watch::channel(Snapshot { me: name.to_owned(), ..Snapshot::default() });
-        Ok((Fleet { name: name.to_owned(), settings, socket, seen }, sees))
+        Ok((Fleet { name: name.to_owned(), settings, socket, seen, disks: Disks::default() }, sees))
+    }
+
+    /// Keeps its files on these.
+    pub fn on(self, disks: Disks) -> Self {
+        Fleet { disks, ..self }
     }
 
     /// Where it hears datagrams.
@@ -55,9 +60,9 @@
     /// Takes part until told to leave, and ends when others have been told, or when another process of this name
     /// keeps it. Not to be dropped half-way if others are to learn of the leaving at once.
     pub async fn run(self, mut leave: watch::Receiver<bool>) {
-        let Fleet { name, settings, socket, seen } = self;
+        let Fleet { name, settings, socket, seen, disks } = self;
         let cluster = settings.cluster.as_str();
-        let keeper = settings.folder.clone().map(|at| Keeper::new(at, &name, cluster));
+        let keeper = settings.folder.clone().map(|at| Keeper::new(at, disks, &name, cluster));
         let saved = match &keeper {
             Some(keeper) => keeper.start().await,
             None => Default::default(),
@@ -114,8 +119,10 @@
 impl Saving {
     fn save(&mut self, machine: &Membership) {
         let busy = self.under_way.as_ref().is_some_and(|task| !task.is_finished());
-        let Some(keeper) =
-            self.keeper.clone().filter(|_| self.dirty && !busy && self.last.elapsed() >= SAVE_EVERY)
+        let Some(keeper) = self
+            .keeper
+            .clone()
+            .filter(|_| self.dirty && !busy && self.last.elapsed() >= Duration::from_nanos(SAVE_EVERY))
         else {
             return;
         };
--- a/crates/fleet/src/snapshot.rs
+++ b/crates/fleet/src/snapshot.rs
@@ -52,6 +52,9 @@
     pub schema: u32,
     /// Who sees it.
     pub me: String,
+    /// Number of this process among all of its name: greater with every start on one disk.
+    #[serde(default)]
+    pub run: u64,
     /// Whether this process takes part: not one that left or gave its name to another.
     pub takes_part: bool,
     /// Whether it hears more than half of what should be there.
@@ -108,6 +111,7 @@
         Snapshot {
             schema: SCHEMA,
             me: me.to_owned(),
+            run: machine.run(),
             takes_part: machine.takes_part(),
             majority: sure.majority,
             alive: sure.alive,
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -95,6 +95,9 @@
         /// The product's own configuration.
         #[arg(long)]
         config: Option<PathBuf>,
+        /// Its files are on a store that does what is written beside its folder, drawn from this seed.
+        #[arg(long)]
+        store: Option<u64>,
     },
 }
 
@@ -117,7 +120,7 @@
     let log = tracing_subscriber::fmt().with_writer(std::io::stderr).log_internal_errors(false);
     log.with_ansi(false).with_target(false).init();
     let ended = match cli.command {
-        Command::Node { config } => node(config.as_deref()).map(|()| ExitCode::SUCCESS),
+        Command::Node { config, store } => node(config.as_deref(), store).map(|()| ExitCode::SUCCESS),
         Command::List => experiments::KEPT
             .iter()
             .try_for_each(|(name, _)| {
@@ -132,7 +135,7 @@
     })
 }
 
-fn node(config: Option<&Path>) -> Result<(), String> {
+fn node(config: Option<&Path>, store: Option<u64>) -> Result<(), String> {
     let fleet = match config {
         Some(path) => {
             let text =
@@ -143,7 +146,7 @@
         }
         None => None,
     };
-    merlinfold_node::process::run(fleet)
+    merlinfold_node::process::run(fleet, store.map(trial::faulty::disks).unwrap_or_default())
 }
 
 fn runtime() -> Result<tokio::runtime::Runtime, String> {
@@ -386,12 +389,16 @@
     );
     for seed in 1..=pairs {
         let (mut figures, mut memory) = ([0.0; 2], [0.0; 2]);
-        let order = if seed % 2 == 1 { [0, 1] } else { [1, 0] };
-        for side in order {
-            let mut day = plain(1_500.0, 6.0)?;
-            day.seed = seed;
-            let plan = Plan { name: format!("pair {seed}"), day, nodes: commands[side].clone(), logs: None };
-            let played = one(plan).await?;
+        let mut day = plain(1_500.0, 6.0)?;
+        day.seed = seed;
+        let plan = |side: usize| {
+            let name = format!("pair {seed}");
+            Plan { name, day: day.clone(), nodes: commands[side].clone(), logs: None }
+        };
+        // Side by side: whatever else the machine does, and however fast it runs just then, both have the same of it.
+        let (first, second) = if seed % 2 == 1 { (0, 1) } else { (1, 0) };
+        let (played, others) = tokio::join!(one(plan(first)), one(plan(second)));
+        for (side, played) in [(first, played?), (second, others?)] {
             let served = played.report.whole.served.max(1) as f64;
             let used = played.report.usage.first().cloned().unwrap_or_default();
             (figures[side], memory[side]) = (used.cpu_s * 1e6 / served, used.memory_mb);
--- a/crates/lab/src/trial/command.rs
+++ b/crates/lab/src/trial/command.rs
@@ -3,6 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
 
 use clap::{Args, Subcommand};
 use merlinfold_trial::report::Report;
@@ -100,6 +101,7 @@
 
 async fn run(told: Run) -> Result<ExitCode, String> {
     let trial = find(&told.trial, told.seed, told.nodes)?;
+    let begun = Instant::now();
     let report: Report = if told.in_virtual_time {
         virtual_time::play(&told.trial, &trial, None)?
     } else {
@@ -107,6 +109,12 @@
         super::processes::play(&told.trial, &trial, &nodes, told.logs.as_deref()).await?
     };
     print!("{}", report.text());
+    if told.in_virtual_time {
+        // One thread and no waiting: the time that it took is processor time, the player's own with it.
+        let took = begun.elapsed().as_secs_f64();
+        let of_node = took / (trial.seconds * trial.fleet.nodes as f64);
+        println!("played in {took:.2} s: {:.1} us of processor time for a node's second", of_node * 1e6);
+    }
     if let Some(path) = &told.json {
         write(path, &report.json())?;
     }
--- a/crates/lab/src/trial/processes.rs
+++ b/crates/lab/src/trial/processes.rs
@@ -11,7 +11,7 @@
 use merlinfold_trial::link::Links;
 use merlinfold_trial::report::{mean_and_most, seconds, Moment, Report};
 use merlinfold_trial::schedule::{nanos, steps, Do};
-use merlinfold_trial::spec::{DiskFault, Kept, CLIENTS, DISCOVERY, SERVERS};
+use merlinfold_trial::spec::{DiskFault, Kept, What, CLIENTS, DISCOVERY, SERVERS};
 use merlinfold_trial::Trial;
 use merlinfold_world::experiment::Experiment;
 use merlinfold_world::ledger::{Law as LedgerLaw, Ledger, Life};
@@ -25,6 +25,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
+use super::faulty;
 use super::relay::{connections, datagrams, Fates};
 use crate::experiments;
 use crate::load::{ready, Load};
@@ -72,6 +73,7 @@
     consoles: Vec<Console>,
     paused: Vec<bool>,
     starts: u64,
+    store: bool, // nodes run on the lab's store
     lives: Vec<(Nanos, usize, Life)>,
     fates: Fates,
     truth: Truth,
@@ -115,6 +117,10 @@
         self.of(observer).and_then(|seen| seen.counts.get("accused").copied())
     }
 
+    fn run(&self, observer: usize) -> Option<u64> {
+        self.of(observer).map(|seen| seen.run)
+    }
+
     fn strangers(&self, observer: usize) -> usize {
         let others = |line: &&merlinfold_fleet::MemberLine| !line.name.starts_with('n');
         self.of(observer).map_or(0, |seen| seen.members.iter().filter(others).count())
@@ -151,6 +157,14 @@
     if trial.fleet.strangers > 0 {
         return Err("strangers are played in virtual time only".to_owned());
     }
+    let of_store = |fault: &merlinfold_trial::spec::Fault| match fault.what {
+        What::Disk { does, .. } => does.is_of_the_store(),
+        _ => false,
+    };
+    let store = trial.faults.iter().any(of_store);
+    if store && *command != NodeCommand::own()? {
+        return Err("only the lab's own node has a store that fails".to_owned());
+    }
     let day = day(trial)?;
     let count = trial.fleet.nodes;
     let steps = steps(trial)?;
@@ -186,6 +200,7 @@
         nodes: (0..count).map(|_| None).collect(),
         paused: vec![false; count],
         starts: 0,
+        store,
         lives: Vec::new(),
         used: vec![0.0; count],
         begun: vec![Instant::now(); count],
@@ -338,6 +353,9 @@
         std::fs::write(&file, product).map_err(cannot)?;
         let mut command = self.command.clone();
         command.words.extend(["--config".to_owned(), file.display().to_string()]);
+        if self.store {
+            command.words.extend(["--store".to_owned(), (self.trial.seed ^ mix(self.starts)).to_string()]);
+        }
         let sockets = self.day.nodes.sockets;
         let process = Process::start(&command, node, &text.to_string(), sockets, &self.folder.path)?;
         self.nodes[node] = Some(process);
@@ -399,15 +417,9 @@
                 let _ = std::fs::rename(&disk, &aside);
                 std::fs::write(&disk, "")
             }
-            Some(DiskFault::SyncFails | DiskFault::SyncLies) => {
-                self.report.line(
-                    self.clock.now(),
-                    Some(node),
-                    "this disk fault is played in virtual time only".into(),
-                );
-                Ok(())
-            }
+            Some(of_the_store) => faulty::tell(&disk, Some(of_the_store)),
             None => {
+                let _ = std::fs::remove_file(faulty::told_in(&disk));
                 let lifted = self.nodes[node].as_ref().map_or(Ok(()), |process| process.limit_files(None));
                 if std::fs::read_link(&full).is_ok() {
                     let _ = std::fs::remove_file(&full);
--- a/crates/lab/tests/trials.rs
+++ b/crates/lab/tests/trials.rs
@@ -28,6 +28,11 @@
     keeps_all_laws("few-links");
 }
 
+#[test]
+fn five_processes_live_through_stores_that_fail_and_lie() {
+    keeps_all_laws("few-disks");
+}
+
 /// Guards what a user sees: codes, reports and the page, on the clock that takes no time.
 #[test]
 fn a_trial_says_what_came_of_it() {
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -1035,6 +1035,11 @@
         self.incarnation
     }
 
+    /// The number of this process among all of its name.
+    pub fn run(&self) -> u64 {
+        self.me.run
+    }
+
     /// What has been sent and heard.
     pub fn counts(&self) -> &Counts {
         &self.counts
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,7 +34,7 @@
 use merlinfold_config::Fleet as FleetSettings;
 use merlinfold_decide::interface::{Discovery, Settings};
 use merlinfold_decide::policy::Balancer;
-use merlinfold_fleet::{Fleet, Snapshot};
+use merlinfold_fleet::{Disks, Fleet, Snapshot};
 use merlinfold_settings::{Env, HostLimits, Names};
 
 const MEMORY_LEAST: f64 = 32.0; // MB; taken where the configuration does not say
@@ -169,10 +169,11 @@
     }
 
     /// Lets the node take part in a fleet under its own name. Serving waits for nothing that the fleet does.
-    pub fn join(&mut self, settings: FleetSettings) -> Result<(), String> {
+    pub fn join(&mut self, settings: FleetSettings, disks: Disks) -> Result<(), String> {
         let at = settings.listen;
         let opened = Fleet::open(&self.name, settings);
-        self.fleet = Some(opened.map_err(|error| format!("fleet.listen: cannot use {at}: {error}"))?);
+        let (fleet, seen) = opened.map_err(|error| format!("fleet.listen: cannot use {at}: {error}"))?;
+        self.fleet = Some((fleet.on(disks), seen));
         Ok(())
     }
 
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -9,12 +9,13 @@
 use tracing::warn;
 
 use merlinfold_config::Fleet;
+use merlinfold_fleet::Disks;
 
 use crate::{Config, Node, Reloader};
 
 /// Serves from the file that `BALANCER_CONFIG` names until SIGTERM. Errors are one line that names what is
-/// missing or wrong. `fleet` is the fleet to take part in, if any.
-pub fn run(fleet: Option<Fleet>) -> Result<(), String> {
+/// missing or wrong. `fleet` is the fleet to take part in, if any, and `disks` is where its files are.
+pub fn run(fleet: Option<Fleet>, disks: Disks) -> Result<(), String> {
     let path = std::env::var("BALANCER_CONFIG").map_err(|error| format!("BALANCER_CONFIG: {error}"))?;
     let text = read(&path)?;
     let mut config = Config::parse(&text).map_err(|fault| format!("configuration: {fault}"))?;
@@ -33,7 +34,7 @@
         // end of the node.
         let mut _limit = None;
         if let Some(fleet) = fleet {
-            node.join(fleet)?;
+            node.join(fleet, disks)?;
             let too_large = SignalKind::from_raw(Signal::XFSZ.as_raw());
             _limit = Some(signal(too_large).map_err(|error| format!("SIGXFSZ: {error}"))?);
         }
--- a/crates/trial/src/catalogue.rs
+++ b/crates/trial/src/catalogue.rs
@@ -12,6 +12,7 @@
     ("disk-full", include_str!("../trials/disk-full.toml")),
     ("disks-change", include_str!("../trials/disks-change.toml")),
     ("disks-go-bad", include_str!("../trials/disks-go-bad.toml")),
+    ("few-disks", include_str!("../trials/few-disks.toml")),
     ("few-links", include_str!("../trials/few-links.toml")),
     ("few-machines", include_str!("../trials/few-machines.toml")),
     ("flapping-link", include_str!("../trials/flapping-link.toml")),
--- a/crates/trial/src/disk.rs
+++ b/crates/trial/src/disk.rs
@@ -6,9 +6,10 @@
 
 use merlinfold_store::Disk;
 use merlinfold_world::seed::{Seed, Stream};
+use merlinfold_world::Nanos;
 use rand::Rng;
 
-use crate::spec::{DiskFault, Kept};
+use crate::spec::{DiskFault, Kept, SLOW};
 
 type Content = Vec<u8>;
 
@@ -40,6 +41,14 @@
         self.state.borrow_mut().fault = fault;
     }
 
+    /// How long so many steps take.
+    pub fn takes(&self, steps: usize) -> Nanos {
+        match self.state.borrow().fault {
+            Some(DiskFault::Slow) => (0..steps).map(|_| self.stream.borrow_mut().random_range(0..SLOW)).sum(),
+            _ => 0,
+        }
+    }
+
     /// The machine ends without a word.
     pub fn crash(&self) {
         let mut state = self.state.borrow_mut();
@@ -88,6 +97,7 @@
         let state = self.state.borrow();
         match state.fault {
             Some(DiskFault::Gone) => Err(ErrorKind::NotADirectory.into()),
+            Some(DiskFault::ReadFails) => Err(io::Error::other("the device reports an error")),
             _ => Ok(state.seen.get(name).map(|(content, _)| content.clone())),
         }
     }
@@ -137,7 +147,7 @@
         match state.fault {
             Some(DiskFault::Gone) => return Err(ErrorKind::NotADirectory.into()),
             Some(DiskFault::SyncFails) => return Err(io::Error::other("the device reports an error")),
-            Some(DiskFault::SyncLies) => return Ok(()),
+            Some(DiskFault::SyncLies | DiskFault::NamesLost) => return Ok(()),
             _ => {}
         }
         let state = &mut *state;
--- a/crates/trial/src/laws.rs
+++ b/crates/trial/src/laws.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 
 use crate::schedule::{nanos, Do, Effect, Nodes};
-use crate::spec::{Trial, SERVERS};
+use crate::spec::{DiskFault, Kept, Trial, SERVERS};
 
 /// Time after its own trouble from which on a node counts as untroubled.
 pub const GRACE: Nanos = 10 * SECOND;
@@ -39,6 +39,8 @@
     fn majority(&self, observer: usize) -> Option<bool>;
     /// How many accusations of its own the observer has made since it started.
     fn accused(&self, observer: usize) -> Option<u64>;
+    /// The number of the observer's present process; none if it has not said.
+    fn run(&self, observer: usize) -> Option<u64>;
     /// Members of other fleets that the observer holds.
     fn strangers(&self, observer: usize) -> usize;
 }
@@ -201,6 +203,7 @@
         Box::new(SmallSideKnows),
         Box::new(NoStrangers),
         Box::new(PausedIsMeek::default()),
+        Box::new(StartsOnlyRise::new(trial.fleet.nodes)),
     ]
 }
 
@@ -453,3 +456,49 @@
         }
     }
 }
+
+/// What the disk of one node promises.
+#[derive(Clone, Default)]
+struct Promise {
+    fault: Option<DiskFault>,
+    doubt: bool, // whether this start may not be on the disk
+    bound: bool, // whether this start has to follow the one before
+    run: Option<u64>,
+}
+
+struct StartsOnlyRise(Vec<Promise>);
+
+impl StartsOnlyRise {
+    fn new(count: usize) -> Self {
+        StartsOnlyRise(vec![Promise::default(); count])
+    }
+}
+
+impl Law for StartsOnlyRise {
+    fn step(&mut self, _: Nanos, _: &Truth, what: &Do, _: &dyn Views, _: &mut Findings) {
+        match what {
+            Do::Disk(node, fault) => {
+                let of = &mut self.0[*node];
+                of.fault = *fault;
+                of.doubt |= fault.is_some_and(DiskFault::lies);
+            }
+            Do::Start(node, kept) => {
+                let of = &mut self.0[*node];
+                of.bound = *kept == Kept::Kept && !of.doubt && !of.fault.is_some_and(DiskFault::hides);
+                of.doubt = of.fault.is_some();
+            }
+            _ => {}
+        }
+    }
+
+    fn moment(&mut self, now: Nanos, truth: &Truth, views: &dyn Views, found: &mut Findings) {
+        for (node, of) in self.0.iter_mut().enumerate().filter(|(node, _)| truth.up[*node]) {
+            let Some(run) = views.run(node).filter(|run| of.run != Some(*run)) else { continue };
+            if let Some(before) = of.run.filter(|before| of.bound && run <= *before) {
+                let what = format!("n{node} starts as {run:x} after {before:x}, with its disk");
+                found.broken("starts only rise", now, what);
+            }
+            of.run = Some(run);
+        }
+    }
+}
--- a/crates/trial/src/spec.rs
+++ b/crates/trial/src/spec.rs
@@ -1,6 +1,7 @@
 //! What a trial file says.
 
 use merlinfold_config::Fault as TextFault;
+use merlinfold_world::{Nanos, SECOND};
 use serde::{Deserialize, Serialize};
 
 /// Nodes of a trial at most.
@@ -232,6 +233,39 @@
     SyncFails,
     /// Fails to make durable, and says that it has.
     SyncLies,
+    /// Makes contents durable, and says so of names that it then loses.
+    NamesLost,
+    /// Takes all, and gives nothing back.
+    ReadFails,
+    /// Takes up to [`SLOW`] over each step.
+    Slow,
+}
+
+/// The longest step of a slow disk.
+pub const SLOW: Nanos = 2 * SECOND;
+
+impl DiskFault {
+    /// Whether it needs a store beneath the program: no folder of the machine can be made to do it.
+    pub fn is_of_the_store(self) -> bool {
+        matches!(
+            self,
+            DiskFault::SyncFails
+                | DiskFault::SyncLies
+                | DiskFault::NamesLost
+                | DiskFault::ReadFails
+                | DiskFault::Slow
+        )
+    }
+
+    /// Whether what was kept before it can be lost by it.
+    pub fn lies(self) -> bool {
+        matches!(self, DiskFault::SyncLies | DiskFault::NamesLost)
+    }
+
+    /// Whether a start may find nothing, though something was kept.
+    pub fn hides(self) -> bool {
+        matches!(self, DiskFault::Gone | DiskFault::ReadFails | DiskFault::Slow)
+    }
 }
 
 /// What has to hold beside the laws that always do.
--- a/crates/trial/src/virtual_time.rs
+++ b/crates/trial/src/virtual_time.rs
@@ -5,9 +5,9 @@
 use std::net::SocketAddr;
 
 use merlinfold_membership::{
-    Action, Change, Event, Identity, Membership, Name, Profile, Saved, Tuning, SAVED_VERSION,
+    Action, Change, Event, Identity, Keeping, Membership, Name, Profile, Saved, Tuning, SAVE_EVERY,
+    START_WITHIN,
 };
-use merlinfold_store::File;
 use merlinfold_world::seed::mix;
 use merlinfold_world::{Nanos, MS, SECOND};
 
@@ -20,7 +20,7 @@
 use crate::spec::{DiskFault, Kept, Trial};
 
 const INBOX_MOST: usize = 256; // datagrams that a kernel keeps for a process that does not read
-const SAVE_EVERY: Nanos = 5 * SECOND;
+const START_STEPS: usize = 6; // of a disk: open, read, write, sync, rename, sync of the folder
 const LEAVES_IN: Nanos = 400 * MS; // from being told to end to the end
 const STARTED: Nanos = 20 * SECOND; // by when a fleet that starts at once is one; bytes are counted from then on
 const CLUSTER: &str = "guides";
@@ -39,11 +39,11 @@
     machine: Option<Membership>,
     paused: bool,
     leaving: bool,
+    ended: bool, // or not yet started
     inbox: VecDeque<(SocketAddr, Vec<u8>)>,
     disk: ModelDisk,
     starts: u64,
     run: u64,
-    kept_run: bool, // whether the disk of the last start can be relied on
     scheduled: Option<Nanos>,
     sent_before: u64,   // bytes, by starts that have ended
     sent_starting: u64, // and in the first seconds
@@ -55,7 +55,9 @@
     Deliver { to: usize, from: usize, bytes: Vec<u8> },
     Due(usize),
     Gone(usize, u64),
+    Join(usize, u64, Box<Saved>),
     Save(usize, u64),
+    Saved(usize, u64),
     Moment,
 }
 
@@ -96,6 +98,10 @@
         self.0[observer].machine.as_ref().map(|machine| machine.counts().accused)
     }
 
+    fn run(&self, observer: usize) -> Option<u64> {
+        self.0[observer].machine.as_ref().map(Membership::run)
+    }
+
     fn strangers(&self, observer: usize) -> usize {
         let of = self.0[observer].machine.as_ref();
         of.map_or(0, |machine| {
@@ -126,11 +132,11 @@
         machine: None,
         paused: false,
         leaving: false,
+        ended: true,
         inbox: VecDeque::new(),
         disk: ModelDisk::new(trial.seed, n as u64),
         starts: 0,
         run: 0,
-        kept_run: true,
         scheduled: None,
         sent_before: 0,
         sent_starting: 0,
@@ -200,7 +206,9 @@
                         self.end(node);
                     }
                 }
+                Ev::Join(node, start, saved) => self.join(node, start, *saved),
                 Ev::Save(node, start) => self.save(node, start),
+                Ev::Saved(node, start) => self.saved(node, start),
                 Ev::Moment => self.moment(),
             }
         }
@@ -248,28 +256,34 @@
         let (mine, others) = (&self.nodes[node], &self.nodes[other]);
         let neighbour = others.disk.clone();
         mine.disk.start(kept, Some(&neighbour));
-        let file = File::new("fleet", &mine.name, SAVED_VERSION);
-        let saved: Saved = match file.load(&mine.disk) {
-            Ok(saved) => saved.unwrap_or_default(),
-            Err(fault) => {
-                self.report.line(self.now, Some(node), format!("fleet.mf: {fault}"));
-                Saved::default()
-            }
-        };
-        let saved = saved.next(self.nodes[node].cluster);
-        let durable = file.save(&self.nodes[node].disk, &saved);
-        if let Err(fault) = &durable {
+        let (mut saved, faults) = Keeping::new(&mine.name, mine.cluster).start(&mine.disk);
+        let mut takes = mine.disk.takes(START_STEPS);
+        for fault in faults {
             self.report.line(self.now, Some(node), format!("fleet.mf: {fault}"));
         }
+        self.nodes[node].starts += 1;
+        self.nodes[node].ended = false;
+        if takes >= START_WITHIN {
+            self.report.line(self.now, Some(node), "fleet.mf: the disk does not answer".to_owned());
+            (takes, saved) = (START_WITHIN, Saved::default());
+        }
+        let start = self.nodes[node].starts;
+        if takes > 0 {
+            self.push(self.now + takes, Ev::Join(node, start, Box::new(saved)));
+        } else {
+            self.join(node, start, saved);
+        }
+    }
+
+    /// The process has what its disk gave, or goes on without.
+    fn join(&mut self, node: usize, start: u64, saved: Saved) {
         let of = &mut self.nodes[node];
-        of.starts += 1;
-        let random = mix(self.trial.seed ^ mix(node as u64 + (of.starts << 20)));
-        let run = saved.run(random as u32);
-        if kept == Kept::Kept && of.kept_run && durable.is_ok() && run <= of.run {
-            let what = format!("n{node} starts as {run:x} after {:x}, with its disk", of.run);
-            self.found.broken("starts only rise", self.now, what);
+        if of.starts != start || of.ended {
+            return;
         }
-        (of.run, of.kept_run) = (run, durable.is_ok());
+        let random = mix(self.trial.seed ^ mix(node as u64 + (start << 20)));
+        let run = saved.run(random as u32);
+        of.run = run;
         let seeds = (0..self.trial.fleet.seeds.min(self.trial.fleet.nodes)).map(|n| self.nodes[n].address);
         let seeds = seeds.chain(saved.addresses).collect();
         let of = &mut self.nodes[node];
@@ -284,7 +298,6 @@
         of.machine = Some(Membership::new(identity, tuning, random, self.now));
         (of.paused, of.leaving) = (false, false);
         of.inbox.clear();
-        let start = of.starts;
         self.push(self.now + SAVE_EVERY, Ev::Save(node, start));
         self.schedule(node);
     }
@@ -295,7 +308,7 @@
         if let Some(machine) = of.machine.take() {
             of.sent_before += machine.counts().sent_bytes;
         }
-        (of.scheduled, of.paused) = (None, false);
+        (of.scheduled, of.paused, of.ended) = (None, false, true);
         of.inbox.clear();
     }
 
@@ -304,16 +317,23 @@
         if of.starts != start {
             return;
         }
-        if let Some(machine) = of.machine.as_ref().filter(|_| of.changed && !of.paused) {
+        let mut next = self.now + SAVE_EVERY;
+        if of.machine.is_some() && of.changed && !of.paused {
             of.changed = false;
-            let starts = (of.run >> 32) as u32;
-            let saved = Saved { cluster: of.cluster.to_owned(), starts, addresses: machine.addresses() };
-            if let Err(fault) = File::new("fleet", &of.name, SAVED_VERSION).save(&of.disk, &saved) {
-                of.kept_run = false;
-                self.report.line(self.now, Some(node), format!("fleet.mf: {fault}"));
-            }
+            let takes = of.disk.takes(START_STEPS);
+            next = next.max(self.now + takes); // one at a time
+            self.push(self.now + takes, Ev::Saved(node, start));
+        }
+        self.push(next, Ev::Save(node, start));
+    }
+
+    fn saved(&mut self, node: usize, start: u64) {
+        let of = &self.nodes[node];
+        let Some(machine) = of.machine.as_ref().filter(|_| of.starts == start) else { return };
+        let keeping = Keeping::new(&of.name, of.cluster);
+        if let Err(fault) = keeping.save(&of.disk, (of.run >> 32) as u32, machine.addresses()) {
+            self.report.line(self.now, Some(node), format!("fleet.mf: {fault}"));
         }
-        self.push(self.now + SAVE_EVERY, Ev::Save(node, start));
     }
 
     fn deliver(&mut self, to: usize, from: usize, bytes: Vec<u8>) {
--- a/crates/trial/tests/laws.rs
+++ b/crates/trial/tests/laws.rs
@@ -4,6 +4,7 @@
 
 use merlinfold_trial::laws::{all, Findings, Law, Truth, Views};
 use merlinfold_trial::schedule::{Do, Effect};
+use merlinfold_trial::spec::{DiskFault, Kept};
 use merlinfold_trial::Trial;
 
 const S: u64 = 1_000_000_000;
@@ -13,6 +14,7 @@
     state: Option<&'static str>,
     majority: bool,
     accused: u64,
+    run: u64,
     strangers: usize,
 }
 
@@ -29,12 +31,16 @@
         Some(self.accused)
     }
 
+    fn run(&self, _: usize) -> Option<u64> {
+        Some(self.run)
+    }
+
     fn strangers(&self, _: usize) -> usize {
         self.strangers
     }
 }
 
-const RIGHT: Made = Made { state: Some("alive"), majority: true, accused: 0, strangers: 0 };
+const RIGHT: Made = Made { state: Some("alive"), majority: true, accused: 0, run: 7, strangers: 0 };
 
 struct Court {
     truth: Truth,
@@ -118,4 +124,19 @@
     court.step(25 * S, &Do::Continue(2), &RIGHT);
     court.moment(29 * S, &Made { accused: 1, ..RIGHT });
     assert_eq!(court.broken(), BTreeSet::from(["paused is meek"]));
+
+    let again = |run, fault: Option<DiskFault>, kept| {
+        let mut court = Court::new();
+        court.moment(20 * S, &RIGHT);
+        court.step(21 * S, &Do::Disk(2, fault), &RIGHT);
+        court.step(22 * S, &Do::Disk(2, None), &RIGHT);
+        court.step(25 * S, &Do::Start(2, kept), &RIGHT);
+        court.moment(26 * S, &Made { run, ..RIGHT });
+        court.broken()
+    };
+    assert_eq!(again(6, None, Kept::Kept), BTreeSet::from(["starts only rise"]));
+    assert_eq!(again(6, Some(DiskFault::SyncFails), Kept::Kept), BTreeSet::from(["starts only rise"]));
+    assert_eq!(again(8, None, Kept::Kept), BTreeSet::new());
+    assert_eq!(again(6, None, Kept::Empty), BTreeSet::new(), "the disk holds nothing");
+    assert_eq!(again(6, Some(DiskFault::SyncLies), Kept::Kept), BTreeSet::new(), "the disk has lied");
 }
