Let what may be under way follow what one latency answered, where more is no slower

Cause: what the servers need under way was reckoned from answers of the last 0.5 s, so that after a step what was asked at once could grow by half in half a second at most; and what a class takes without queues was learned from the first 32 answers, which are the quick ones where services vary: 14.2 of 20 ms, which passed for strain.

Change: where servers have proved to take two of this node's attempts side by side no slower and answers come no slower than usual, what was answered within one latency counts as needed. The latency without queues is the mean of the first 128 answers before its least is kept.

--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -16,7 +16,7 @@
 const RATE_WINDOW: f64 = 2e9; // of the rates, ns: some requests even at a node that sees little
 const SPEED_GAIN: f64 = 1.0 / 8.0; // of a server's smoothed latency: its last eight answers count
 const USUAL_SAMPLES: f64 = 128.0; // answers over which a class's usual latency is smoothed
-const BASE_SAMPLES: f64 = 32.0; // answers that tell roughly what it is without queues
+const BASE_SAMPLES: f64 = 128.0; // answers that tell what it is without queues: the first are the quick
 const BASE_RISE: f64 = 1.0 / 2048.0; // step per answer of that back up towards the usual latency
 const BASE_MOST: f64 = 1.0 / 3.0; // of the aim: that a class takes without queues
 const OVERDUE: f64 = 5.0; // mean deviations over the usual latency after which an attempt is lost
@@ -143,6 +143,7 @@
     open: u32, // Own attempts that are out, requests that wait for a server, and the latency without
     waiting: usize, // queues of the answers of late.
     answered: Decayed,
+    lately: Decayed, // Answers of one latency without queues: what was out one latency ago.
 }
 
 impl Tally {
@@ -769,6 +770,12 @@
         let pool = &self.pools[self.pool[request.class]];
         let part = self.fair_part().max(1.0);
         let needed = (pool.answered.get(now, STRAIN_WINDOW) / STRAIN_WINDOW).max(part);
+        // What was out one latency ago was all answered since: where more at once has proved no slower,
+        // so much is needed now, and what is asked at once may grow from latency to latency.
+        let proved = self.limit == u32::MAX && self.depths[1].seen >= DEPTH_SAMPLES;
+        let quick = proved && self.excess(request.class, 0.0) < STRAIN_FROM;
+        let lately = if quick { pool.lately.get(now, self.base[request.class]) } else { 0.0 };
+        let needed = needed.max(lately);
         let crowd = (f64::from(pool.open) + pool.waiting as f64 - 2.0 * needed.sqrt()) / needed;
         let held = f64::from(pool.open) + pool.waiting as f64;
         let idle = held < self.fair_part();
@@ -942,7 +949,9 @@
             // Learned within a jam it would hide the jam: an aim leaves room for queues.
             self.base[class] = base.min(self.set.classes[class].aim as f64 * BASE_MOST);
             let base = self.base[class];
-            self.pools[self.pool[class]].answered.add(now, STRAIN_WINDOW, base);
+            let pool = &mut self.pools[self.pool[class]];
+            pool.answered.add(now, STRAIN_WINDOW, base);
+            pool.lately.add(now, base, 1.0);
             // Few get beyond the limit: each of them has to tell more.
             let most = if (depth as u32) < self.limit { 4.0 * DEPTH_SAMPLES } else { DEPTH_SAMPLES };
             self.depths[depth].add((taken / base).min(2.0 * DEPTH_SLOWER), most);
--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -16,11 +16,13 @@
 #[derive(Clone, Debug)]
 struct World {
     servers: u32,
-    slots: usize,    // requests that a server works on side by side
-    service: Nanos,  // each takes this, up to `spread` less or more
-    spread: f64,     // as a share of the service
-    hitch: Nanos,    // what one in a hundred takes longer at most, as on a machine that does other things too
-    clients: u64,    // that ask again ...
+    slots: usize,   // requests that a server works on side by side
+    service: Nanos, // each takes this, up to `spread` less or more
+    spread: f64,    // as a share of the service
+    hitch: Nanos,   // what one in a hundred takes longer at most, as on a machine that does other things too
+    clients: u64,   // that ask again ...
+    more: u64,      // clients from `step` on beside these
+    step: Nanos,
     answered: Nanos, // so long after an answer
     refused: Nanos,  // and so long after a refusal
     heed: bool,      // or as long after one as it says
@@ -40,6 +42,8 @@
             spread: 0.5,
             hitch: 0,
             clients: 64,
+            more: 0,
+            step: 0,
             answered: 20 * US,
             refused: 100 * US,
             heed: false,
@@ -106,7 +110,10 @@
     for n in 0..world.clients {
         due.push(Reverse((start + n * 10 * US, n, Happens::Ask)));
     }
-    order += world.clients;
+    for n in world.clients..world.clients + world.more {
+        due.push(Reverse((start + world.step + n * 10 * US, n, Happens::Ask)));
+    }
+    order += world.clients + world.more;
     let mut now = start;
     loop {
         for action in std::mem::take(&mut out) {
@@ -230,6 +237,38 @@
     }
 }
 
+/// Guards the rise: what may be under way follows what was answered in one latency, so that twice or four times as
+/// many clients than before are all taken within some latencies. It is the case of a zone that is lost.
+#[test]
+fn what_is_asked_at_once_may_double_and_double_again() {
+    for (service, clients) in [(2 * MS, 16), (20 * MS, 32), (20 * MS, 64), (100 * MS, 32)] {
+        for times in [2, 4] {
+            for spread in [0.0, 0.5] {
+                let more = clients * (times - 1);
+                let world = World {
+                    service,
+                    clients,
+                    more,
+                    spread,
+                    step: 3 * S,
+                    refused: 5 * MS,
+                    length: 6 * S,
+                    ..World::default()
+                };
+                let seconds = play(&world);
+                let name = format!("{service} ns, {clients} clients and {more} more, spread {spread}");
+                for (n, second) in [(1, seconds[1]), (2, seconds[2]), (4, seconds[4]), (5, seconds[5])] {
+                    assert!(second.refused_share() < 0.001, "{name}, second {n}: {second:?}");
+                }
+                // Each is turned away for some 50 ms at most, 5 ms after one another.
+                for (n, new) in [(0, clients), (3, more)] {
+                    assert!(seconds[n].refused <= 10 * new, "{name}, second {n}: {:?}", seconds[n]);
+                }
+            }
+        }
+    }
+}
+
 #[test]
 fn what_waits_far_less_than_the_aim_is_not_refused() {
     // One slot each that the node cannot see: 64 on 16 servers wait for three others, 8 of 300 ms.
