Count as needed the most that one latency answered of late, at whatever depth it was

Cause: where clients come in step, what was answered within the last latency is small just before they all ask again; and proof that more at once is no slower was looked for at one depth only, which a step can leap over.

Change: the most of late counts, fading over 2 s or four latencies; any depth beyond the first is proof.

Law: what stands ready is used.

--- a/crates/decide/src/policy.rs
+++ b/crates/decide/src/policy.rs
@@ -21,6 +21,7 @@
 const BASE_MOST: f64 = 1.0 / 3.0; // of the aim: that a class takes without queues
 const OVERDUE: f64 = 5.0; // mean deviations over the usual latency after which an attempt is lost
 const LATE_LEAST: f64 = 5e6; // over the usual, ns: what a busy machine holds an answer up by at times
+const MOST_LATENCIES: f64 = 4.0; // over which the most that was answered in one fades, if that is long
 const RETRY_SHARE: f64 = 0.1; // retries, after attempts that may have run, for each request
 const RETRY_RESERVE: f64 = 10.0; // such retries that may be saved up
 const UNSTATED: AttemptBudget = AttemptBudget { free: f64::INFINITY, share: 0.0, span: 0 };
@@ -143,7 +144,8 @@
     open: u32, // Own attempts that are out, requests that wait for a server, and the latency without
     waiting: usize, // queues of the answers of late.
     answered: Decayed,
-    lately: Decayed, // Answers of one latency without queues: what was out one latency ago.
+    lately: Decayed, // Answers of one latency without queues: what was out one latency ago, and the
+    most: f64,       // most that it was of late.
 }
 
 impl Tally {
@@ -772,10 +774,10 @@
         let needed = (pool.answered.get(now, STRAIN_WINDOW) / STRAIN_WINDOW).max(part);
         // What was out one latency ago was all answered since: where more at once has proved no slower,
         // so much is needed now, and what is asked at once may grow from latency to latency.
-        let proved = self.limit == u32::MAX && self.depths[1].seen >= DEPTH_SAMPLES;
+        let deep = self.depths[1..].iter().any(|depth| depth.seen >= DEPTH_SAMPLES);
+        let proved = deep && self.limit == u32::MAX;
         let quick = proved && self.excess(request.class, 0.0) < STRAIN_FROM;
-        let lately = if quick { pool.lately.get(now, self.base[request.class]) } else { 0.0 };
-        let needed = needed.max(lately);
+        let needed = needed.max(if quick { pool.most } else { 0.0 });
         let crowd = (f64::from(pool.open) + pool.waiting as f64 - 2.0 * needed.sqrt()) / needed;
         let held = f64::from(pool.open) + pool.waiting as f64;
         let idle = held < self.fair_part();
@@ -951,7 +953,10 @@
             let base = self.base[class];
             let pool = &mut self.pools[self.pool[class]];
             pool.answered.add(now, STRAIN_WINDOW, base);
+            let fades = RATE_WINDOW.max(MOST_LATENCIES * base);
+            pool.most *= (-(now.saturating_sub(pool.heard) as f64) / fades).exp();
             pool.lately.add(now, base, 1.0);
+            pool.most = pool.most.max(pool.lately.get(now, base));
             // Few get beyond the limit: each of them has to tell more.
             let most = if (depth as u32) < self.limit { 4.0 * DEPTH_SAMPLES } else { DEPTH_SAMPLES };
             self.depths[depth].add((taken / base).min(2.0 * DEPTH_SLOWER), most);
