Let closed-loop clients double from round to round, and tell refusals after a second

Need: what is refused in a node's first moments, while it knows nothing, hid in a round's figure; a step to 2n and 4n clients on sockets could not be played.

A short one runs with the tests.

--- a/crates/lab/src/closed.rs
+++ b/crates/lab/src/closed.rs
@@ -26,13 +26,14 @@
 const START: Duration = Duration::from_secs(5); // for a node to become ready
 const END: Duration = Duration::from_secs(5); // for a node to end
 const SOCKETS: usize = 4_096;
+const CLIENTS_MOST: u64 = 512;
 const REQUESTS_MOST: u64 = 10_000_000;
 
 /// What to play.
 #[derive(Debug, Args)]
 pub struct Closed {
     /// Clients, each with one request under way at all times.
-    #[arg(long, default_value_t = 64, value_parser = clap::value_parser!(u64).range(1..=512))]
+    #[arg(long, default_value_t = 64, value_parser = clap::value_parser!(u64).range(1..=CLIENTS_MOST))]
     clients: u64,
     /// Servers.
     #[arg(long, default_value_t = 16, value_parser = clap::value_parser!(u64).range(1..=250))]
@@ -49,6 +50,9 @@
     /// Rounds, one after the other on the same node.
     #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=20))]
     rounds: u64,
+    /// Twice as many clients in each round as in the one before.
+    #[arg(long)]
+    double: bool,
     /// Aim in milliseconds; clients wait two and a half times as long.
     #[arg(long, default_value_t = 300)]
     aim_ms: u64,
@@ -63,25 +67,58 @@
     served: AtomicU64,
     late: AtomicU64,
     refused: AtomicU64,
+    later: AtomicU64, // of these, after the round's first second
     other: AtomicU64,
 }
 
-/// Plays the node, then the bare forwarder.
+impl Closed {
+    fn clients_of(&self, round: u64) -> u64 {
+        self.clients << if self.double { round - 1 } else { 0 }
+    }
+
+    fn most_clients(&self) -> u64 {
+        self.clients_of(self.rounds)
+    }
+}
+
+/// What came of all rounds.
+struct Played {
+    later: u64,
+    us_served: f64,
+}
+
+/// Plays the node, then the bare forwarder. It fails if every request has a slot and some are refused later than in
+/// a round's first second.
 pub async fn run(told: &Closed) -> Result<ExitCode, String> {
+    if told.most_clients() > CLIENTS_MOST {
+        return Err(format!("--double: over {CLIENTS_MOST} clients in the last round"));
+    }
     let own = std::env::current_exe().map_err(|error| format!("cannot name this program: {error}"))?;
     let bare = own.with_file_name("merlinfold-lab-forwarder").display().to_string();
     let node = told.node.as_deref().map_or_else(NodeCommand::own, NodeCommand::of)?;
     println!(
-        "{:<10} {:>5} {:>8} {:>6} {:>8} {:>6} {:>8} {:>9} {:>9} {:>10}",
-        "", "round", "served", "late", "refused", "other", "seconds", "p50 ms", "p99 ms", "us/served"
+        "{:<10} {:>5} {:>8} {:>6} {:>8} {:>8} {:>6} {:>8} {:>9} {:>9} {:>10}",
+        "",
+        "round",
+        "served",
+        "late",
+        "refused",
+        "later",
+        "other",
+        "seconds",
+        "p50 ms",
+        "p99 ms",
+        "us/served"
     );
-    let mut refused = 0;
-    for (name, command) in [("node", node), ("forwarder", NodeCommand::of(&bare)?)] {
-        let of = play(told, name, &command).await?;
-        refused += if name == "node" { of } else { 0 };
-    }
-    println!("refused after the first round: {refused}");
-    Ok(ExitCode::SUCCESS)
+    let of_node = play(told, "node", &node).await?;
+    let of_bare = play(told, "forwarder", &NodeCommand::of(&bare)?).await?;
+    println!(
+        "refused after a round's first second: {}; processor time of a served request over the forwarder's: {:.2}",
+        of_node.later,
+        of_node.us_served / of_bare.us_served
+    );
+    let room = told.slots.is_none_or(|slots| told.most_clients() <= told.servers * slots as u64);
+    Ok(if room && of_node.later > 0 { ExitCode::FAILURE } else { ExitCode::SUCCESS })
 }
 
 fn configuration(told: &Closed, range: &Range) -> String {
@@ -172,7 +209,7 @@
     }
 }
 
-async fn play(told: &Closed, name: &str, command: &NodeCommand) -> Result<u64, String> {
+async fn play(told: &Closed, name: &str, command: &NodeCommand) -> Result<Played, String> {
     let range = Arc::new(Range::claim()?);
     let _servers = serve(told, &range)?;
     let folder = Folder::new(None)?;
@@ -181,14 +218,15 @@
     if !ready(at, START).await {
         return Err(format!("the {name} was not ready:\n{}", process.tail()));
     }
-    let (mut refused_later, mut cpu) = (0, process.look().cpu_s);
+    let (mut later, mut all_served, first) = (0, 0, process.look().cpu_s);
+    let mut cpu = first;
     for number in 1..=told.rounds {
         let round = Arc::new(Round::default());
         let left = Arc::new(AtomicU64::new(told.requests));
         let begun = Instant::now();
         let mut clients = JoinSet::new();
-        for n in 0..told.clients {
-            clients.spawn(client(at, number << 32 | n << 16, told.aim_ms, left.clone(), round.clone()));
+        for n in 0..told.clients_of(number) {
+            clients.spawn(client(at, number << 48 | n << 32, told.aim_ms, left.clone(), round.clone()));
         }
         let mut latencies = histogram();
         while let Some(ended) = clients.join_next().await {
@@ -198,10 +236,12 @@
         let used = process.look().cpu_s;
         let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
         let (served, refused) = (count(&round.served), count(&round.refused));
-        refused_later += if number > 1 { refused } else { 0 };
+        later += count(&round.later);
+        all_served += served;
         println!(
-            "{name:<10} {number:>5} {served:>8} {:>6} {refused:>8} {:>6} {:>8.1} {:>9.1} {:>9.1} {:>10.1}",
+            "{name:<10} {number:>5} {served:>8} {:>6} {refused:>8} {:>8} {:>6} {:>8.1} {:>9.1} {:>9.1} {:>10.1}",
             count(&round.late),
+            count(&round.later),
             count(&round.other),
             begun.elapsed().as_secs_f64(),
             latencies.value_at_quantile(0.5) as f64 / 1e3,
@@ -215,14 +255,14 @@
     if name == "node" {
         println!("{}", process.tail());
     }
-    Ok(refused_later)
+    Ok(Played { later, us_served: 1e6 * (cpu - first) / all_served.max(1) as f64 })
 }
 
 /// One client: asks until the round's requests are spent. Latencies in microseconds.
 async fn client(
     at: SocketAddr, first: u64, aim_ms: u64, left: Arc<AtomicU64>, round: Arc<Round>,
 ) -> Histogram<u64> {
-    let mut latencies = histogram();
+    let (mut latencies, first_second) = (histogram(), Instant::now() + Duration::from_secs(1));
     let mut connection: Option<(TcpStream, Reader)> = None;
     let mut number = first;
     let deadline = aim_ms * 5 / 2;
@@ -260,6 +300,10 @@
             _ => &round.other,
         };
         counter.fetch_add(1, Ordering::Relaxed);
+        let refused = matches!(answered.as_ref().map(|answer| answer.status), Some(429 | 503));
+        if refused && begun > first_second {
+            round.later.fetch_add(1, Ordering::Relaxed);
+        }
         if let Some(answer) = answered {
             if answer.status == 200 {
                 latencies.saturating_record(took.as_micros() as u64);
--- a/crates/lab/tests/command.rs
+++ b/crates/lab/tests/command.rs
@@ -16,6 +16,19 @@
     lines.filter(|line| String::from_utf8_lossy(line).contains(what)).count()
 }
 
+/// Guards clients on sockets that ask again as soon as they are answered, twice as many in the second round: what
+/// stands ready is used. The aim leaves room for a machine that does other things too.
+#[test]
+fn clients_that_double_are_not_refused_beside_idle_servers() {
+    let arguments =
+        ["closed", "--clients", "16", "--double", "--rounds", "2", "--requests", "2500", "--aim-ms", "2000"];
+    let ended = lab(&arguments);
+    let told = String::from_utf8([ended.stdout, ended.stderr].concat()).unwrap();
+    assert!(ended.status.success() && told.contains("refused after a round's first second: 0"), "{told}");
+    let over = lab(&["closed", "--clients", "300", "--double", "--rounds", "2"]);
+    assert_eq!(over.status.code(), Some(1));
+}
+
 /// Guards the machine that it runs on: whoever interrupts a run leaves no node behind.
 #[test]
 fn an_interrupted_run_ends_all_that_it_started() {
