Break a silent watch at once and ask only for what it missed, with 2.5 s to spare

Cause: a watch was given up after its wait and 2 s more, at 7 s, the moment at which what it missed counts as told; the module's back-off of 0.6 to 1.25 s and a whole list followed. Ruled out: sends after the list had come (the grace is kept), polls (none was silent). At fault: WAIT + PATIENCE and the restart by the module in discovery.rs.

A watch waits 2 s and is given up after 3; what it missed is asked for at once on a new connection by version, without waiting.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -136,11 +136,16 @@
         let told = held.clone();
         let server = Server::start(move |request| {
             let (lock, changed) = &*told.0;
-            let had = request.start.split(['=', '&']).nth(1).and_then(|index| index.parse().ok());
+            let mut asked = request.start.split(['=', '&', ' ']).skip(2).step_by(2);
+            let had = asked.next().and_then(|index| index.parse().ok());
+            let wait =
+                asked.next().and_then(|wait| wait.parse().ok()).map_or(PATIENCE, Duration::from_millis);
             let state = lock.lock().unwrap();
             let wait =
-                changed.wait_timeout_while(state, PATIENCE, |now| had.is_some_and(|had: u64| had >= now.0));
-            Then::Write(answer(200, "", &wait.unwrap().0 .1))
+                changed.wait_timeout_while(state, wait, |now| had.is_some_and(|had: u64| had >= now.0));
+            let (state, ended) = wait.unwrap();
+            let unchanged = json!({"index": state.0, "snapshot": false, "endpoints": []}).to_string();
+            Then::Write(answer(200, "", if ended.timed_out() { &unchanged } else { &state.1 }))
         });
         (held, server)
     }
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -165,6 +165,33 @@
     assert_eq!(node.ask("read").body, b"new");
 }
 
+/// Guards drains: what a silent watch hides counts as told 6 s after it fell silent. The node breaks the watch and asks
+/// for what it missed on a new connection, with time to spare.
+#[test]
+fn a_silent_watch_is_broken_and_what_it_missed_is_asked_for() {
+    let (old, new) = (Server::start(|_| ok()), Server::start(|_| ok()));
+    let (first, second) = (list(1, &[("old", old.address)]), list(2, &[("new", new.address)]));
+    let silent = AtomicUsize::new(0);
+    let discovery = Server::start(move |request| match &request.start {
+        start if start.contains("index=2") => Then::Hang,
+        start if start.contains("index=1&wait=0") => Then::Write(answer(200, "", &second.to_string())),
+        start if start.contains("index=1") => {
+            silent.fetch_add(1, Ordering::Relaxed);
+            Then::Hang
+        }
+        _ => Then::Write(answer(200, "", &first.to_string())),
+    });
+    let node = Running::start(&config(discovery.address, &[("old", old.address)]));
+    while !discovery.next_request().start.contains("index=1&wait=2000") {}
+    let begun = std::time::Instant::now();
+    discovery.wait_for_end();
+    assert!(discovery.next_request().start.contains("index=1&wait=0"), "only what was missed");
+    while !discovery.next_request().start.contains("index=2") {}
+    assert!(begun.elapsed() < Duration::from_millis(5_000), "{:?} of 6 s", begun.elapsed());
+    assert_eq!(node.ask("read").status(), 200);
+    new.next_request();
+}
+
 /// Guards that nobody's input ends the node or is taken for a request.
 #[test]
 fn bad_input_is_answered_in_kind_and_the_node_goes_on() {
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -274,10 +274,9 @@
                 self.settle(id);
             }
             Input::List(list) => {
+                // One that names no change still says that discovery answers.
                 let kind = if list.snapshot { ListKind::Complete } else { ListKind::Partial };
-                if list.snapshot || !list.endpoints.is_empty() {
-                    self.list(kind, list);
-                }
+                self.list(kind, list);
             }
             Input::ListFailed => self.handle(Event::Servers { kind: ListKind::Failed, entries: Vec::new() }),
             Input::Peer { from, bytes } => self.handle(Event::Peer { from, bytes }),
