Split the decision module into a folder of small files, one idea each

Change: policy/ with state, tuning, the list, worth, cold servers, learning, pick, admission and attempts; no behaviour.

--- /dev/null
+++ b/crates/decide/src/policy/tuning.rs
@@ -0,0 +1,57 @@
+//! Figures that decisions are reckoned with, each with its unit and its reason.
+
+use super::{AttemptBudget, Nanos};
+
+pub const SECOND: f64 = 1e9; // ns
+pub const TICK: Nanos = 50_000_000; // between rounds of housekeeping, ns: short beside what people wait
+pub const RATE_WINDOW: f64 = 2e9; // of the rates, ns: some requests even at a node that sees little
+pub const SPEED_GAIN: f64 = 1.0 / 8.0; // of a server's smoothed latency: its last eight answers count
+pub const USUAL_SAMPLES: f64 = 128.0; // answers over which a class's usual latency is smoothed
+pub const BASE_SAMPLES: f64 = 128.0; // answers that tell what it is without queues: the first are the quick
+pub const BASE_RISE: f64 = 1.0 / 2048.0; // step per answer of that back up towards the usual latency
+pub const BASE_MOST: f64 = 1.0 / 3.0; // of the aim: that a class takes without queues
+pub const OVERDUE: f64 = 5.0; // mean deviations over the usual latency after which an attempt is lost
+pub const LATE_LEAST: f64 = 5e6; // over the usual, ns: what a busy machine holds an answer up by at times
+pub const MOST_LATENCIES: f64 = 4.0; // over which the most that was answered in one fades, if that is long
+pub const RETRY_SHARE: f64 = 0.1; // retries, after attempts that may have run, for each request
+pub const RETRY_RESERVE: f64 = 10.0; // such retries that may be saved up
+pub const UNSTATED: AttemptBudget = AttemptBudget { free: f64::INFINITY, share: 0.0, span: 0 };
+pub const STRIKES: u32 = 2; // failures in a row that eject a server: one may be chance
+pub const EJECT: Nanos = 1_000_000_000; // first time out, ns; doubles with each further failure
+pub const DOUBLINGS: u32 = 4; // of a time out, at most
+pub const ROTATION_LEAST: f64 = 8.0; // servers in a rotation that all nodes share: fast and slow ones
+pub const ROTATION_SPARE: f64 = 1.25; // servers in the rotation for each job under way without queues
+pub const NEAR: f64 = 40.0; // weight of an age in the own zone, per unit of the price of leaving it
+pub const WARM_KEY: u128 = 6; // weight of an age where the key is kept warm
+pub const LEFT_LEAST: f64 = 0.05; // of a server's speed, to classes that may go elsewhere
+pub const SLOPE_UNIT: f64 = (1u64 << 40) as f64; // of slopes in the ring: an age of one at usual speed
+pub const SLOPE_MOST: f64 = (1u64 << 61) as f64;
+pub const SCALE_NEAR: f64 = 0.02; // of the scale of speeds: less changes no turn
+pub const SWEEP: usize = 32; // servers drawn anew in a tick: all of a small fleet, a quarter as many else
+pub const WARM_AMONG: usize = 32; // servers that draw for a key: more would draw in vain
+pub const HEED_AGAIN: f64 = 3.0 / 8.0; // of the servers: suspects are heeded again below, not above half
+pub const COLD_STEPS: u64 = 32; // in which a cold server's warmth grows
+pub const COLD_STEP: Nanos = 1_000_000; // least time between two looks at a cold server's allowance, ns
+pub const DEPTHS: usize = 8; // own attempts at a server that are told apart
+pub const DEPTH_SAMPLES: f64 = 16.0; // answers that make a depth known
+pub const DEPTH_SLOWER: f64 = 1.35; // than an idle server: a depth that is slower queues
+pub const DEPTH_TRIES: u32 = 16; // one in so many servers that are full by this takes one more, to learn from
+pub const COLD_MARGIN: f64 = 0.45; // of the fall budget: a window's worth may be saved up, and warmth grows
+pub const STRAIN_FROM: f64 = 0.7; // deviations of latency over that without queues: refusing begins
+pub const STRAIN_TO: f64 = 2.2; // and at which all of the least valuable requests are refused
+pub const ROOM_FROM: f64 = 0.2; // of the aim that a slow answer takes: refusing begins
+pub const ROOM_TO: f64 = 0.4; // and is as strict as the strain tells
+pub const IDLE_LATE: f64 = 0.5; // of the aim: answers that take more are no sign of idle servers
+pub const IDLE_STRAIN: f64 = STRAIN_MOST / 2.0; // nor are such as take so many times what they did, or none
+pub const IDLE_MOST: f64 = 0.6; // of the least valuable requests refused all the same: a few have to tell
+pub const OVER_SHARE: f64 = 1.25; // of what the median tenant asks for its quota: beyond counts as over it
+pub const SPREAD_LEAST: f64 = 0.2; // deviation over mean: few answers tell little of less
+pub const STRAIN_MOST: f64 = 8.0; // what a failure counts as in a jam; an answer counts no more either
+pub const STRAIN_GAIN: f64 = 1.0 / 32.0; // least weight of an answer in the strain: one may be chance
+pub const TELL_TICKS: u32 = 10; // mean number of ticks between messages to peers, to make them few
+pub const NEWS_PART: usize = 6; // one peer for so many servers hears of an answer: about once in six sends
+pub const NEWS_PEERS: usize = 8; // that hear of it at most: messages must not grow with nodes times servers
+pub const NEWS_STEPS: f64 = 16.0; // steps of a doubling in which slowness is told
+pub const LATENCY_MOST: Nanos = 1 << 50; // thirteen days, ns: beyond that it is a fault of the clock
+pub const WEIGHT_MOST: f64 = 1e6; // of a server: sums of weights stay exact enough
+pub const STRAIN_WINDOW: f64 = 5e8; // of recent answers; without any the strain fades, ns
--- a/crates/decide/tests/limits.rs
+++ b/crates/decide/tests/limits.rs
@@ -37,6 +37,6 @@
 
 #[test]
 fn the_decision_module_names_its_interface_at_the_top() {
-    let text = fs::read_to_string(root().join("crates/decide/src/policy.rs")).expect("it is there");
+    let text = fs::read_to_string(root().join("crates/decide/src/policy/mod.rs")).expect("it is there");
     assert!(text.lines().next().is_some_and(|line| line.contains("`interface.rs`")));
 }
