Listen on to a call to discovery that was given up: what it brings counts as told

Three polls were given up after 3 s (log: 'silent for 3s', 3 times), discovery was short of capacity (233 answers of 503), and wrote its answers a moment later into connections that the node had closed. Ruled out: sends after a list that was heard, the module's back-off (it is what made the gap 0.46 s long, not its cause). At fault: the drop of the call at the end of its time in discovery/mod.rs.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{mpsc, Mutex};
 use std::time::Duration;
 
 use common::*;
@@ -184,7 +185,6 @@
     let node = Running::start(&config(discovery.address, &[("old", old.address)]));
     while !discovery.next_request().start.contains("index=1&wait=2000") {}
     let begun = std::time::Instant::now();
-    discovery.wait_for_end();
     assert!(discovery.next_request().start.contains("index=1&wait=0"), "only what was missed");
     while !discovery.next_request().start.contains("index=2") {}
     assert!(begun.elapsed() < Duration::from_millis(5_000), "{:?} of 6 s", begun.elapsed());
@@ -192,6 +192,37 @@
     new.next_request();
 }
 
+/// Guards drains: what discovery writes counts as told, also on a call that the node has given up.
+#[test]
+fn an_answer_that_comes_after_its_call_was_given_up_is_heard() {
+    let (old, new) = (Server::start(|_| ok()), Server::start(|_| ok()));
+    let (first, second) = (list(1, &[("old", old.address)]), list(2, &[("new", new.address)]));
+    let (late, given_up) = (mpsc::channel::<()>(), mpsc::channel::<()>());
+    let (late, given_up) = ((Mutex::new(late.0), Mutex::new(late.1)), given_up);
+    let (tell, told) = (Mutex::new(given_up.0), given_up.1);
+    let discovery = Server::start(move |request| match &request.start {
+        start if start.contains("index=2") => Then::Hang,
+        start if start.contains("index=1&wait=0") => {
+            // The call for what the watch missed: the watch is answered now, and this call never.
+            late.0.lock().unwrap().send(()).unwrap();
+            Then::Hang
+        }
+        start if start.contains("index=1") => {
+            late.1.lock().unwrap().recv_timeout(PATIENCE).unwrap();
+            tell.lock().unwrap().send(()).unwrap();
+            Then::Write(answer(200, "", &second.to_string()))
+        }
+        _ => Then::Write(answer(200, "", &first.to_string())),
+    });
+    let node = Running::start(&config(discovery.address, &[("old", old.address)]));
+    told.recv_timeout(PATIENCE).unwrap();
+    let begun = std::time::Instant::now();
+    // No other call brings the new server: the late answer alone does.
+    while node.ask("read").status() != 200 || new.seen.try_iter().count() == 0 {
+        assert!(begun.elapsed() < Duration::from_millis(1_000), "the late answer was not heard");
+    }
+}
+
 /// Guards that nobody's input ends the node or is taken for a request.
 #[test]
 fn bad_input_is_answered_in_kind_and_the_node_goes_on() {
--- a/crates/node/src/discovery/connection.rs
+++ b/crates/node/src/discovery/connection.rs
@@ -11,9 +11,8 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
 
-use super::course::{Call, Query};
+use super::course::Query;
 use crate::list::List;
 
 const LIST_MOST: usize = 8 << 20; // bytes
@@ -39,31 +38,9 @@
     CountsAnew(u64),
 }
 
-/// A kept connection to discovery, opened anew after anything that went wrong.
-#[derive(Default)]
-pub struct Line(Option<Connection>);
-
-impl Line {
-    /// Makes the call. Whatever goes wrong closes the connection: no late answer can be taken for another's.
-    pub async fn call(&mut self, at: SocketAddr, call: Call) -> Result<List, Fault> {
-        let kept = self.0.take();
-        match timeout(call.within, exchange(at, kept, call.query)).await {
-            Ok(Ok((connection, list))) => {
-                self.0 = Some(connection);
-                Ok(list)
-            }
-            Ok(Err(fault)) => Err(fault),
-            Err(_) => Err(Fault::Silent(call.within)),
-        }
-    }
-
-    /// Closes the connection.
-    pub fn close(&mut self) {
-        self.0 = None;
-    }
-}
-
-async fn exchange(
+/// Makes the call, on the kept connection if it still is one, and hands the connection back with the list. Whatever
+/// goes wrong closes it: no answer can be taken for another call's.
+pub async fn exchange(
     at: SocketAddr, kept: Option<Connection>, query: Query,
 ) -> Result<(Connection, List), Fault> {
     let mut open = match kept.filter(|open| open.sender.is_ready()) {
@@ -86,7 +63,7 @@
 }
 
 /// Closed when it is dropped.
-struct Connection {
+pub struct Connection {
     sender: SendRequest<Empty<Bytes>>,
     task: AbortHandle,
 }
--- a/crates/node/src/discovery/course.rs
+++ b/crates/node/src/discovery/course.rs
@@ -44,6 +44,18 @@
 pub struct Course {
     held: Option<u64>, // version of the list
     state: State,
+    overtaken: bool, // a late answer has brought more while the call that is out was made
+}
+
+/// What a list is beside the one that is held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// The next one.
+    News,
+    /// Older: a late answer has told more meanwhile.
+    Old,
+    /// Of another counting: it must not be taken for the next one.
+    Anew,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -59,7 +71,8 @@
 
 impl Course {
     /// What to call for now.
-    pub fn next(&self) -> Call {
+    pub fn next(&mut self) -> Call {
+        self.overtaken = false;
         let query = |wait| self.held.map_or(Query::Whole, |held| Query::Since(held, wait));
         match self.state {
             State::Asking => Call { query: query(Duration::ZERO), within: PATIENCE },
@@ -68,14 +81,28 @@
         }
     }
 
-    /// A list of this version came; false if it is of another counting and must not be taken for the next one.
-    pub fn answered(&mut self, version: u64, whole: bool) -> bool {
-        if !whole && self.held.is_some_and(|held| version < held) {
+    /// A list of this version came.
+    pub fn answered(&mut self, version: u64, whole: bool) -> Taken {
+        let older = self.held.is_some_and(|held| version < held);
+        if older && self.overtaken {
+            self.state = State::Watching;
+            return Taken::Old;
+        }
+        if older && !whole {
             *self = Course::default();
-            return false;
+            return Taken::Anew;
         }
         (self.held, self.state) = (Some(version), State::Watching);
-        true
+        Taken::News
+    }
+
+    /// The answer to a call that was given up; whether it is newer than what is held.
+    pub fn late(&mut self, version: u64) -> bool {
+        let news = self.held.is_none_or(|held| version > held);
+        if news {
+            (self.held, self.overtaken) = (Some(version), true);
+        }
+        news
     }
 
     /// The call has taken all its time.
@@ -122,6 +149,7 @@
     #[derive(Clone, Copy, Debug)]
     enum End {
         Answer(u64, bool),
+        Late(u64),
         Failure,
         Unreadable,
         Silence(Duration),
@@ -130,6 +158,7 @@
     fn ends() -> impl Strategy<Value = Vec<End>> {
         let end = prop_oneof![
             4 => (0..50u64, any::<bool>()).prop_map(|(version, whole)| End::Answer(version, whole)),
+            1 => (0..50u64).prop_map(End::Late),
             1 => Just(End::Failure),
             1 => Just(End::Unreadable),
             2 => (0..3_000u64).prop_map(|ms| End::Silence(Duration::from_millis(ms))),
@@ -143,25 +172,41 @@
         #[test]
         fn what_a_silence_hides_is_asked_for_before_it_counts_as_told(ends in ends()) {
             let (mut course, mut held) = (Course::default(), None::<u64>);
+            let mut overtaken = false;
             for end in ends {
-                let call = course.next();
+                let call = if overtaken { Call { query: Query::Whole, within: PATIENCE } } else { course.next() };
                 prop_assert!(call.within > Duration::ZERO && call.within <= Duration::from_secs(60));
                 match (call.query, held) {
+                    _ if overtaken => {} // the call that is out was made before
                     (Query::Whole, None) => {}
                     (Query::Since(version, _), Some(held)) => prop_assert_eq!(version, held),
                     other => prop_assert!(false, "asked {:?}", other),
                 }
                 match end {
                     End::Answer(version, whole) => {
+                        let older = held.is_some_and(|held| version < held);
                         let taken = course.answered(version, whole);
-                        prop_assert_eq!(taken, whole || held.is_none_or(|held| version >= held));
-                        held = taken.then_some(version);
+                        prop_assert_eq!(taken == Taken::Old, older && overtaken);
+                        prop_assert_eq!(taken == Taken::Anew, older && !overtaken && !whole);
+                        held = match taken {
+                            Taken::News => Some(version),
+                            Taken::Old => held,
+                            Taken::Anew => None,
+                        };
+                    }
+                    End::Late(version) => {
+                        let taken = course.late(version);
+                        prop_assert_eq!(taken, held.is_none_or(|held| version > held));
+                        held = if taken { Some(version) } else { held };
+                        overtaken |= taken;
+                        continue; // the call is still out
                     }
                     End::Failure => prop_assert_eq!(course.failed(), Then::Later),
                     End::Unreadable => {
                         prop_assert_eq!(course.unreadable(), Then::Later);
                         held = None;
                     }
+                    End::Silence(_) if overtaken => drop(course.silent()),
                     End::Silence(after) => {
                         let left = told(call, after.min(call.within)).saturating_sub(call.within);
                         prop_assert!(left >= MARGIN, "{:?} leaves {:?}", call, left);
@@ -175,6 +220,7 @@
                         }
                     }
                 }
+                overtaken = false;
             }
         }
     }
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -2,6 +2,7 @@
 
 mod connection;
 mod course;
+mod late;
 
 use std::future::pending;
 use std::net::SocketAddr;
@@ -10,12 +11,14 @@
 
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{watch, Notify};
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until, Instant};
 use tracing::{info, warn};
 
 use crate::input::Input;
-use connection::{Fault, Line};
-use course::{Course, Then};
+use crate::list::List;
+use connection::{exchange, Fault};
+use course::{Course, Taken, Then};
+use late::Late;
 
 const BACKOFF: Duration = Duration::from_millis(50); // after a failure, where lists are pushed; doubles with each further one
 const DOUBLINGS: u32 = 5;
@@ -39,17 +42,19 @@
     /// Until the driver is gone.
     pub async fn run(self) {
         let Watcher { mut address, inputs, asked } = self;
-        let (mut course, mut failures, mut at_once) = (Course::default(), 0, false);
+        let mut following = Following::new(inputs.clone());
+        let (mut failures, mut at_once) = (0, false);
         loop {
             if let Some(asked) = asked.as_ref().filter(|_| !at_once) {
                 tokio::select! {
                     () = asked.notified() => {}
-                    () = moved(&mut address) => course = Course::default(),
+                    () = moved(&mut address) => following = Following::new(inputs.clone()),
+                    () = following.listen() => {}
                 }
             }
             let at = *address.borrow_and_update();
             let ended = tokio::select! {
-                fault = follow(at, &inputs, &mut course, &mut failures) => Some(fault),
+                fault = following.follow(at, &mut failures) => Some(fault),
                 () = moved(&mut address) => None,
             };
             if inputs.is_closed() {
@@ -58,7 +63,7 @@
             // The module's word to watch holds at the new address as well, where versions may be of another counting.
             at_once = ended.is_none();
             let Some(fault) = ended else {
-                course = Course::default();
+                following = Following::new(inputs.clone());
                 info!(from = %at, to = %*address.borrow(), "discovery has moved");
                 continue;
             };
@@ -66,7 +71,10 @@
             if asked.is_some() {
                 let _ = inputs.send(Input::ListFailed);
             } else {
-                sleep(BACKOFF * (1 << failures.min(DOUBLINGS))).await;
+                tokio::select! {
+                    () = sleep(BACKOFF * (1 << failures.min(DOUBLINGS))) => {}
+                    () = following.listen() => {}
+                }
                 failures += 1;
             }
         }
@@ -80,36 +88,77 @@
     }
 }
 
-/// Hands on list after list until a call fails for which the service may be to blame, or nobody takes them.
-async fn follow(
-    at: SocketAddr, inputs: &UnboundedSender<Input>, course: &mut Course, failures: &mut u32,
-) -> Fault {
-    let mut line = Line::default();
-    loop {
-        let call = course.next();
-        let fault = match line.call(at, call).await {
-            Ok(list) if course.answered(list.index, list.snapshot) => {
-                *failures = 0;
-                if inputs.send(Input::List(list)).is_err() {
-                    return Fault::Silent(Duration::ZERO); // the driver is gone, and so is the watcher
+/// The conversation with discovery at one address.
+struct Following {
+    inputs: UnboundedSender<Input>,
+    course: Course,
+    late: Late,
+}
+
+impl Following {
+    fn new(inputs: UnboundedSender<Input>) -> Self {
+        Following { inputs, course: Course::default(), late: Late::default() }
+    }
+
+    /// Hands on what comes late, for ever.
+    async fn listen(&mut self) {
+        loop {
+            let list = self.late.next().await;
+            self.came_late(list);
+        }
+    }
+
+    fn came_late(&mut self, list: List) {
+        if self.course.late(list.index) {
+            let _ = self.inputs.send(Input::List(list)); // a driver that is gone is found out by the next call
+        }
+    }
+
+    /// Hands on list after list until a call fails for which the service may be to blame, or nobody takes them.
+    async fn follow(&mut self, at: SocketAddr, failures: &mut u32) -> Fault {
+        let mut connection = None;
+        loop {
+            let call = self.course.next();
+            let mut answer = Box::pin(exchange(at, connection.take(), call.query));
+            let until = Instant::now() + call.within;
+            let ended = loop {
+                tokio::select! {
+                    ended = &mut answer => break Some(ended),
+                    () = sleep_until(until) => break None,
+                    list = self.late.next() => self.came_late(list),
                 }
-                continue;
-            }
-            Ok(list) => {
-                line.close();
-                warn!(fault = %Fault::CountsAnew(list.index), %at, "discovery");
-                continue; // with the whole list, whose version is then the one that is held
+            };
+            let fault = match ended {
+                Some(Ok((open, list))) => {
+                    *failures = 0;
+                    match self.course.answered(list.index, list.snapshot) {
+                        Taken::News => {
+                            connection = Some(open);
+                            if self.inputs.send(Input::List(list)).is_err() {
+                                return Fault::Silent(Duration::ZERO); // the driver is gone, and so is the watcher
+                            }
+                        }
+                        Taken::Old => connection = Some(open),
+                        // The whole list follows, whose version is then the one that is held.
+                        Taken::Anew => warn!(fault = %Fault::CountsAnew(list.index), %at, "discovery"),
+                    }
+                    continue;
+                }
+                Some(Err(fault)) => fault,
+                None => {
+                    self.late.listen(answer);
+                    Fault::Silent(call.within)
+                }
+            };
+            let then = match fault {
+                Fault::Silent(_) => self.course.silent(),
+                Fault::Cut(_) | Fault::Unreadable(_) => self.course.unreadable(),
+                _ => self.course.failed(),
+            };
+            match then {
+                Then::AtOnce => warn!(%fault, %at, "discovery: what the watch missed is asked for"),
+                Then::Later => return fault,
             }
-            Err(fault) => fault,
-        };
-        let then = match fault {
-            Fault::Silent(_) => course.silent(),
-            Fault::Cut(_) | Fault::Unreadable(_) => course.unreadable(),
-            _ => course.failed(),
-        };
-        match then {
-            Then::AtOnce => warn!(%fault, %at, "discovery: what the watch missed is asked for"),
-            Then::Later => return fault,
         }
     }
 }
