Pass on what is agreed also where this version does not know it

Cause: a voter that halts at a command of a later version kept nothing after it, so nodes that pull from it never came by that command, whatever their version; found by the test of the halt on four nodes. Change: agreed entries go into what is passed on before they are applied.

--- a/crates/agree/src/machine/following.rs
+++ b/crates/agree/src/machine/following.rs
@@ -160,7 +160,7 @@
     /// Sends children what is new, without waiting for their next pull.
     pub(super) fn push(&mut self, now: Nanos, out: &mut Vec<Action>) {
         self.children.retain(|_, child| now < child.until);
-        let (group, index) = (self.group(), self.applied.index);
+        let (group, index) = (self.group(), self.last_kept());
         let behind: Vec<(Name, Child)> = self
             .children
             .iter()
@@ -343,18 +343,26 @@
         self.pull_from(now, from, out);
     }
 
+    /// The last entry that can be passed on from here.
+    fn last_kept(&self) -> u64 {
+        self.tail.back().map_or(self.applied.index, |last| last.index)
+    }
+
     /// Takes the next agreed entry.
     pub(super) fn apply(&mut self, _now: Nanos, entry: Entry, out: &mut Vec<Action>) {
+        // Others may know what this version does not: what is agreed is passed on also where it is not applied.
+        if entry.index == self.last_kept() + 1 {
+            self.tail.push_back(entry.clone());
+            if self.tail.len() as u64 > self.tuning.keep {
+                self.tail.pop_front();
+            }
+        }
         if self.halted.is_some() || entry.index != self.applied.index + 1 {
             return;
         }
         let twice = self.tuning.defect == Some(Defect::AppliesTwice);
         match self.applied.apply(&entry, twice) {
             Ok(outcome) => {
-                self.tail.push_back(entry.clone());
-                if self.tail.len() as u64 > self.tuning.keep {
-                    self.tail.pop_front();
-                }
                 self.told = self.told.max(self.applied.index);
                 out.push(Action::Tell(Note::Applied(entry)));
                 if let Some((id, outcome)) = outcome {
--- a/crates/trial/tests/agreed.rs
+++ b/crates/trial/tests/agreed.rs
@@ -3,7 +3,9 @@
 //! -- --nocapture --ignored show` tells what happens in one.
 
 use merlinfold_agree::Defect;
-use merlinfold_trial::agreed::{draw, play};
+use merlinfold_trial::agreed::{draw, play, World};
+use merlinfold_trial::spec::{Fault, Fleet, Kept, Network, Rules, What};
+use merlinfold_trial::Trial;
 
 /// Seed, nodes and whether disks last, of worlds that broke a law or did not go on once, with what was at fault.
 const KEPT: [(u64, usize, bool); 12] = [
@@ -95,6 +97,65 @@
     assert_ne!(told(3), told(4));
 }
 
+/// A fleet at size, in which the leader's node is killed again and again.
+fn at_size(nodes: usize, seed: u64, kills: bool) -> World {
+    let kill = |n: usize| Fault {
+        at: 8.0 + 6.0 * n as f64,
+        lasts: Some(2.0),
+        what: What::Kill { who: format!("node:{}", n % 5), disk: Kept::Kept },
+    };
+    let trial = Trial {
+        question: "How fast is the log?".to_owned(),
+        seed,
+        seconds: 60.0,
+        by_hand: true,
+        fleet: Fleet {
+            nodes,
+            zones: ["a", "b", "c"].map(str::to_owned).to_vec(),
+            machines: 4,
+            seeds: 3,
+            servers: 1,
+            strangers: 0,
+        },
+        network: Network::default(),
+        log: None,
+        faults: (0..if kills { 5 } else { 0 }).map(kill).collect(),
+        rules: Rules::default(),
+    };
+    World { trial, candidates: 7, voters: 5, lasting: true, goes_on: true }
+}
+
+#[test]
+#[ignore = "figures of the design note: cargo test -p merlinfold-trial --test agreed -- --nocapture --ignored figures"]
+fn figures() {
+    for nodes in [20, 100, 300] {
+        let (mut latency, mut leaderless, mut bytes) = (Vec::new(), Vec::new(), 0.0);
+        for seed in 1..=20 {
+            let played = play(&at_size(nodes, seed, true), None, false).unwrap();
+            assert!(played.breaches.is_empty(), "{nodes}, {seed}: {:?}", played.breaches);
+            latency.extend(played.latency);
+            leaderless.extend(played.leaderless);
+            if seed == 1 {
+                bytes = play(&at_size(nodes, seed, false), None, false).unwrap().bytes_s;
+            }
+        }
+        let at = |all: &mut Vec<u64>, share: f64| {
+            all.sort_unstable();
+            all[((all.len() - 1) as f64 * share) as usize] as f64 / 1e6
+        };
+        println!(
+            "{nodes} nodes: commit to its own node {:.0}, {:.0} ms (median, 99th of {}); without a leader {:.0}, \
+             {:.0} ms (median, most of {}); {bytes:.0} bytes a second a node",
+            at(&mut latency, 0.5),
+            at(&mut latency, 0.99),
+            latency.len(),
+            at(&mut leaderless, 0.5),
+            at(&mut leaderless, 1.0),
+            leaderless.len(),
+        );
+    }
+}
+
 #[test]
 #[ignore = "shows one world: AGREED_WORLD=seed,nodes,lasting"]
 fn show() {
