Judge votes only once they are durable

Ruled out: a vote sent before it was durable; the save had failed, the seat waited, and the process ended without a word of it. The law is wrong: it read the vote that stood in memory. At fault: Agree::vote. Change: a vote counts where nothing waits for the disk. The double that forgets its vote is still caught.

--- a/crates/agree/src/machine/mod.rs
+++ b/crates/agree/src/machine/mod.rs
@@ -306,9 +306,9 @@
         self.seat.as_ref().filter(|seat| seat.leads() && self.frozen.is_none()).map(Seat::term)
     }
 
-    /// What this node's number has voted for, by term.
+    /// What this node's number has voted for, by term, where that is durable: nobody was told before.
     pub fn vote(&self) -> Option<(u64, u64, u64)> {
-        let seat = self.seat.as_ref()?;
+        let seat = self.seat.as_ref().filter(|_| self.saving.is_none() && self.frozen.is_none())?;
         let (term, vote) = seat.hard();
         Some((seat.voter, term, vote)).filter(|_| vote != 0)
     }
