Keep a state that somebody is fetching on offer while the log goes on

Seen on reading once more, then in a test: two nodes that begin with nothing beside a log of 1,500 entries that goes on, links of 20 ms: neither holds anything after 20 s. Ruled out: lost pieces (nothing is lost there), the window. At fault: feed() made the offer anew at each Whole, so that pieces of the one before were no longer answered; a group that is founded and a copy that is dropped left an old offer behind.

Change: an offer stays as long as what comes after it can be had from the entries kept. Measured: the test passes; without the mend it ends at 0 and 0. Drawn and kept worlds keep the laws.

--- a/crates/agree/src/machine/following.rs
+++ b/crates/agree/src/machine/following.rs
@@ -148,9 +148,11 @@
             }
             return self.send(to, Body::Entries(entries), out);
         }
-        let at = self.applied.index;
-        if self.offered.as_ref().is_none_or(|(index, _)| *index != at) {
-            self.offered = Some((at, Arc::new(self.applied.bytes())));
+        // One that somebody is fetching stays, as long as what comes after it can be had here.
+        let fits =
+            |(at, _): &(u64, Arc<Vec<u8>>)| *at + 1 >= kept && rank(self.group(), *at) > rank(group, index);
+        if !self.offered.as_ref().is_some_and(fits) {
+            self.offered = Some((self.applied.index, Arc::new(self.applied.bytes())));
         }
         let Some((index, bytes)) = self.offered.clone() else { return };
         let (length, sum) = (bytes.len() as u32, crc32c::crc32c(&bytes));
@@ -339,7 +341,7 @@
         out.push(Action::Tell(Note::Differs(self.id.name.clone(), index, part)));
         self.applied = Applied::default();
         self.tail.clear();
-        self.fetch = None;
+        (self.fetch, self.offered) = (None, None);
         self.pull_from(now, from, out);
     }
 
--- a/crates/agree/src/machine/founding.rs
+++ b/crates/agree/src/machine/founding.rs
@@ -96,7 +96,7 @@
         let number = self.rng.u64(1..);
         self.applied = std::mem::take(&mut self.applied).found(number, voters);
         self.tail.clear();
-        self.told = self.applied.index;
+        (self.told, self.offered) = (self.applied.index, None);
         out.push(Action::Tell(super::Note::Jumped(self.group(), self.applied.index)));
         self.sit(now, out);
     }
--- a/crates/agree/tests/machine.rs
+++ b/crates/agree/tests/machine.rs
@@ -39,12 +39,13 @@
     SocketAddr::from(([10, 0, 0, node as u8], 1))
 }
 
-/// Nodes on links that lose nothing and take a millisecond.
+/// Nodes on links that lose nothing.
 struct Net {
     now: Nanos,
     nodes: Vec<Agree>,
     disks: Vec<Files>,
-    queue: VecDeque<(usize, Vec<u8>)>,
+    queue: VecDeque<(Nanos, usize, Vec<u8>)>,
+    way: Nanos, // that a datagram takes
     notes: Vec<(usize, Note)>,
 }
 
@@ -55,6 +56,7 @@
             nodes: Vec::new(),
             disks: (0..count).map(|_| Files::default()).collect(),
             queue: VecDeque::new(),
+            way: MS,
             notes: Vec::new(),
         };
         for node in 0..count {
@@ -94,7 +96,8 @@
             match action {
                 Action::Send { to, bytes } => {
                     let to = (0..self.disks.len()).find(|n| address(*n) == to);
-                    to.into_iter().for_each(|to| self.queue.push_back((to, bytes.clone())));
+                    let at = self.now + self.way;
+                    to.into_iter().for_each(|to| self.queue.push_back((at, to, bytes.clone())));
                 }
                 Action::Persist(writes) => {
                     let name = format!("n{node}");
@@ -116,7 +119,8 @@
         let end = self.now + time;
         while self.now < end {
             self.now += MS;
-            for (to, bytes) in std::mem::take(&mut self.queue) {
+            while self.queue.front().is_some_and(|(at, ..)| *at <= self.now) {
+                let Some((_, to, bytes)) = self.queue.pop_front() else { break };
                 if to < self.nodes.len() {
                     self.feed(to, Event::Datagram(&bytes));
                 }
@@ -228,6 +232,43 @@
     assert_eq!(net.nodes[0].group(), group);
 }
 
+/// Guards catch-up: a large state that is fetched in pieces arrives although others fetch and the log goes on meanwhile.
+#[test]
+fn a_large_state_arrives_while_the_log_goes_on_and_others_fetch_too() {
+    let mut net = Net::new(5);
+    let set = |n: u128, value: usize| {
+        let set = Set { key: format!("k{}", n % 2_000), expect: None, value: vec![7; value] };
+        Event::Propose(Command { id: n + 1, kind: SET, body: postcard::to_stdvec(&set).unwrap() })
+    };
+    // More than the entries that are kept, so that only the whole state helps a node that begins with nothing.
+    for n in 0..1_500 {
+        net.feed(0, set(n, 300));
+        if n % 8 == 7 {
+            net.pass(10 * MS);
+        }
+    }
+    net.pass(5 * SECOND);
+    assert!(net.nodes[3].state().index > 1_400);
+    for node in [3, 4] {
+        net.disks[node] = Files::default();
+        net.start(node, 5);
+    }
+    (net.way, net.queue) = (20 * MS, VecDeque::new());
+    let begun = net.now;
+    let mut n = 10_000;
+    while net.nodes[3].state().index < 1_400 || net.nodes[4].state().index < 1_400 {
+        net.feed(0, set(n, 1));
+        n += 1;
+        net.pass(20 * MS);
+        assert!(
+            net.now < begun + 20 * SECOND,
+            "{} and {}",
+            net.nodes[3].state().index,
+            net.nodes[4].state().index
+        );
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
 
