Give faults of the agreed log's table a type of their own

Need: each says what to do about it, by variant and not by text. Measured: the test of tables that promise too much passes with the names it had.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -19,6 +19,7 @@
 
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
+use thiserror::Error;
 use tracing_subscriber::filter::{LevelFilter, Targets};
 
 /// All of `merlinfold.toml`.
@@ -109,25 +110,41 @@
     Disk,
 }
 
+/// Why a table of the agreed log cannot be kept to.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum LogFault {
+    /// A group of another size has no majority that is worth its voters.
+    #[error("log.voters: {0}; 3, 5 or 7 are possible")]
+    Voters(usize),
+    /// Names stand for nodes.
+    #[error("log.candidates: {0} stands there twice; name each node once")]
+    Twice(String),
+    /// Too few to fill the seats, or too many to ask.
+    #[error("log.candidates: {0}; name as many as voters, and {CANDIDATES_MOST} at most")]
+    Candidates(usize),
+    /// More is promised than can be kept.
+    #[error(
+        "log.durability: \"disk\" needs `folder`, one that lasts longer than the process; without one only \"none\" can \
+         be kept"
+    )]
+    NoDisk,
+}
+
 impl AgreedLog {
-    fn check(&self, folder: Option<&PathBuf>) -> Result<(), String> {
+    fn check(&self, folder: Option<&PathBuf>) -> Result<(), LogFault> {
         if !matches!(self.voters, 3 | 5 | VOTERS_MOST) {
-            return Err(format!("log.voters: {}; 3, 5 or 7 are possible", self.voters));
+            return Err(LogFault::Voters(self.voters));
         }
         let mut names: Vec<&str> = self.candidates.iter().map(Word::as_str).collect();
         names.sort_unstable();
-        names.dedup();
-        if names.len() != self.candidates.len() {
-            return Err("log.candidates: a name stands there twice".to_owned());
+        if let Some(twice) = names.windows(2).find(|pair| pair[0] == pair[1]) {
+            return Err(LogFault::Twice(twice[0].to_owned()));
         }
         if !(self.voters..=CANDIDATES_MOST).contains(&names.len()) {
-            let most = CANDIDATES_MOST;
-            return Err(format!("log.candidates: {}; as many as voters, and {most} at most", names.len()));
+            return Err(LogFault::Candidates(names.len()));
         }
         if self.durability == Durability::Disk && folder.is_none() {
-            return Err("log.durability: \"disk\" needs `folder`, one that lasts longer than the process; without one \
-                        only \"none\" can be kept"
-                .to_owned());
+            return Err(LogFault::NoDisk);
         }
         Ok(())
     }
@@ -159,7 +176,7 @@
             return Err("advertise, seeds: port 0 reaches nobody".to_owned());
         }
         if let Some(log) = &log {
-            log.check(folder.as_ref())?;
+            log.check(folder.as_ref()).map_err(|fault| fault.to_string())?;
         }
         Ok(Fleet { cluster, listen, advertise, zone, machine, seeds, folder, log })
     }
