Begin no attempt for a client that has left, however late its connection comes up

Cause: the module closes a request whose client leaves, and calls nothing off; an attempt whose connection was still coming up (upstream.rs, exchange) went on and was written when it came, up to the connect timeout later. Ruled out: requests that wait in the module (taken out at once), repeats (over), the pool (not asked any more). Change: a request carries a cancellation token, set by whoever sees first that it is over, so that no queue of the driver's stands between; an attempt looks at it while it connects and right before it writes. A connection given up while it comes up is kept for up to 2 s (a lost SYN is repeated after 1 s) for the next attempt, within the slots, a quarter of which it leaves free. An answer's time is counted from when the request was written: a late handshake is no slow answer.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -19,7 +19,7 @@
 use crate::list::{Endpoint, List};
 use crate::peers::Peers;
 use crate::room::Room;
-use crate::upstream::{Answer, AnswerBody, Attempt, Ended, Outgoing, Pool, Server};
+use crate::upstream::{Answer, AnswerBody, Attempt, Connection, Ended, Outgoing, Pool, Server};
 use merlinfold_decide::interface::*;
 use merlinfold_decide::policy::Balancer;
 use merlinfold_fleet::Snapshot;
@@ -53,6 +53,7 @@
     /// first end counts, in the figures too; true if this was it.
     fn end(&mut self, reply: Option<Reply>, figures: &mut Figures) -> bool {
         let Some(client) = self.client.take() else { return false };
+        self.outgoing.over.cancel();
         let end = match &reply {
             Some(Reply::Served(Answer { body: AnswerBody::Long(_), .. })) => None, // with its last byte
             Some(Reply::Served(_)) => Some(End::Completed),
@@ -275,7 +276,7 @@
                     let server = open.attempts.last().map(|out| out.server);
                     if let (Some(server), Some(connection)) = (server, connection.filter(|c| !c.is_closed()))
                     {
-                        self.pool.put(server, connection);
+                        self.keep(server, connection);
                     }
                 }
                 self.settle(id);
@@ -284,6 +285,7 @@
                 // One that names no change still says that discovery answers.
                 let kind = if list.snapshot { ListKind::Complete } else { ListKind::Partial };
                 self.list(kind, list);
+            Input::Opened { server, connection } => self.keep(server, connection),
             }
             Input::ListFailed => self.handle(Event::Servers { kind: ListKind::Failed, entries: Vec::new() }),
             Input::Peer { from, bytes } => self.handle(Event::Peer { from, bytes }),
@@ -496,9 +498,6 @@
             return; // it was called off meanwhile and has had its outcome
         }
         let (server, sent) = (out.server, out.sent);
-        if let Some(connection) = ended.connection {
-            self.pool.put(server, connection);
-        }
         if let Some(mut answer) = ended.answer {
             if let AnswerBody::Long(relay) = &mut answer.body {
                 relay.report_to(self.inputs.clone(), id);
@@ -520,6 +519,12 @@
         self.handle(Event::Outcome { id, attempt, server, status, latency, terminal, report });
         self.settle(id);
     }
+        if let Some(connection) = ended.connection {
+            self.keep(server, connection);
+        }
+        if let Some(opening) = ended.opening {
+            self.pool.await_late(server, opening, self.inputs.clone());
+        }
 
     fn settle(&mut self, id: RequestId) {
         if self.table.get(&id).is_some_and(Open::is_over) {
@@ -527,6 +532,13 @@
         }
     }
 
+    /// Keeps a connection for the next attempt there, if there may be one.
+    fn keep(&mut self, server: ServerId, connection: Connection) {
+        if self.servers[server.0 as usize].takes_sends(self.clock.now()) {
+            self.pool.put(server, connection);
+        }
+    }
+
     fn list(&mut self, kind: ListKind, list: List) {
         let now = self.clock.now();
         let entries: Vec<ServerEntry> = list.endpoints.iter().map(|line| self.entry(line)).collect();
@@ -665,14 +677,16 @@
         let Some(open) = self.table.get_mut(&id) else { return };
         let attempt = open.attempts.len() as u32;
         let server = &self.servers[to.0 as usize];
-        let way = self.pool.way(to, server.address).filter(|_| open.client.is_some());
+        let over = open.outgoing.over.is_cancelled();
+        let way = if over { None } else { self.pool.way(to, server.address) };
         self.tally.sent += 1;
         let task = way.map(|way| {
             let wait = if timeout > 0 { timeout } else { Nanos::MAX };
             let run = Attempt {
                 server: server.clone(),
                 request: open.outgoing.clone(),
-                expires: now.saturating_add(wait).min(open.deadline),
+                patience: wait,
+                deadline: open.deadline,
                 started: now,
                 budget: Budget(self.room.bodies.clone()),
                 connect_timeout: self.limits.connect_timeout,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -24,6 +24,7 @@
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 use tracing::{info, warn};
 
+use tokio_util::sync::CancellationToken;
 use crate::body::{gather, Broken, Budget, Gathered, Held, Relay, Upload, Waited};
 use crate::clock::Clock;
 use crate::head::Asked;
@@ -399,7 +400,7 @@
             outgoing: outgoing.clone(),
             client,
         };
-        let mut waiting = Waiting { inputs: &self.inputs, id, answered: false };
+        let mut waiting = Waiting { inputs: &self.inputs, id, over: &outgoing.over, answered: false };
         let _ = self.inputs.send(Input::Request(arrival));
         let reply = reply.await.unwrap_or(Reply::Failed);
         waiting.answered = true;
@@ -571,12 +572,14 @@
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
     /// What a peer gets that sends this and then nothing more, and after which time the connection ends.
+    over: &'a CancellationToken,
     async fn sent(text: &str) -> (String, Duration) {
         let (inputs, _held) = tokio::sync::mpsc::unbounded_channel();
         let mut names = Names::default();
         names.classes.number("read");
         let class = Class {
             aim: 4_000_000_000,
+            self.over.cancel(); // at once: the driver may have much to do before it comes to this
             deadline: 5_000_000_000,
             worth: 1.0,
             late_worth: 0.0,
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use merlinfold_decide::interface::{Nanos, RequestId};
+use merlinfold_decide::interface::{Nanos, RequestId, ServerId};
 use merlinfold_fleet::Snapshot;
 use tokio::sync::oneshot;
 
@@ -27,6 +27,11 @@
         end: End,
         connection: Option<Connection>,
     },
+    /// A connection that its attempt gave up has come up after all.
+    Opened {
+        server: ServerId,
+        connection: Connection,
+    },
     List(List),
     ListFailed,
     Peer {
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -1,9 +1,11 @@
 //! Connections to servers, one attempt on one of them, and what became of it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
@@ -15,13 +17,16 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::{yield_now, AbortHandle};
 use tokio::time::{sleep_until, timeout, timeout_at, Duration, Instant};
+use tokio_util::sync::CancellationToken;
 
 use crate::body::{gather, Budget, Held, Relay, Sending, Upload, Waited};
 use crate::clock::Clock;
 use crate::figures::Written;
+use crate::input::Input;
 use crate::room::Slots;
 use crate::stream::Shared;
 use merlinfold_decide::interface::{LoadReport, Nanos, ServerId, Status};
@@ -31,6 +36,9 @@
 const PASS_ON: Duration = Duration::from_millis(20); // for an answer of unknown length, which may be a long one
 const DAY: Duration = Duration::from_secs(86_400); // beyond any attempt, which ends it first
 const IDLE_SHARE: f64 = 0.8; // of a server's idle timeout, after which a connection is not used again
+/// For a connection that its attempt has given up: a lost SYN is sent again after 1 s, the next after 2 s more.
+const LATE_MOST: Duration = Duration::from_secs(2);
+const LATE_PART: usize = 4; // one slot in so many is left free by connections that nobody waits for
 const DRAIN_SHARE: f64 = 0.8; // of the grace, after which nothing is written to a draining server
 
 /// That something never happens.
@@ -66,6 +74,9 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Payload,
+    /// Its client has left or has its answer: what is not yet written must not be. Set by whoever sees it first, so
+    /// that no queue stands between a client that leaves and an attempt that is about to begin.
+    pub over: CancellationToken,
 }
 
 /// The body of a client's request.
@@ -103,7 +114,7 @@
         for name in HOP_BY_HOP.iter().chain(listed.iter().filter(|name| !kept(name))) {
             headers.remove(name);
         }
-        Outgoing { method, uri, headers, body }
+        Outgoing { method, uri, headers, body, over: CancellationToken::new() }
     }
 
     /// The long body, where it has one.
@@ -178,9 +189,13 @@
     }
 }
 
-/// Idle connections, and slots for all that may be open.
+/// A connection that is coming up.
+pub type Opening = Pin<Box<dyn Future<Output = io::Result<Connection>> + Send>>;
+
+/// Idle connections, those that come up late, and slots for all that may be open.
 pub struct Pool {
     idle: BTreeMap<ServerId, Vec<(Connection, Nanos)>>,
+    late: VecDeque<AbortOnDrop>,
     slots: Arc<Slots>,
     idle_most: Nanos,
     clock: Clock,
@@ -195,7 +210,7 @@
 impl Pool {
     pub fn new(slots: Arc<Slots>, limits: HostLimits, clock: Clock) -> Self {
         let idle_most = (limits.idle_timeout as f64 * IDLE_SHARE) as Nanos;
-        Pool { idle: BTreeMap::new(), slots, idle_most, clock }
+        Pool { idle: BTreeMap::new(), late: VecDeque::new(), slots, idle_most, clock }
     }
 
     /// The connection to the server that was used last, or leave to open one; none if all are in use.
@@ -210,9 +225,27 @@
         if slot.is_none() && self.drop_oldest() {
             slot = self.slots.try_take(1);
         }
+        if slot.is_none() {
+            self.late.pop_front(); // its slot is free a moment later
+        }
         slot.map(Way::Connect)
     }
 
+    /// Lets a connection that nobody waits for any more come up for the next one, for a while: opening another costs
+    /// its server the same again.
+    pub fn await_late(&mut self, to: ServerId, opening: Opening, inputs: UnboundedSender<Input>) {
+        self.late.retain(|late| !late.0.is_finished());
+        if self.slots.free() * LATE_PART < self.slots.most() {
+            return;
+        }
+        let task = tokio::spawn(async move {
+            if let Ok(Ok(connection)) = timeout(LATE_MOST, opening).await {
+                let _ = inputs.send(Input::Opened { server: to, connection }); // closed if nobody is left
+            }
+        });
+        self.late.push_back(AbortOnDrop(task.abort_handle()));
+    }
+
     /// Closes the connection that has been idle longest; false if there is none.
     fn drop_oldest(&mut self) -> bool {
         let oldest = self.idle.values_mut().filter(|idle| !idle.is_empty()).min_by_key(|idle| idle[0].1);
@@ -222,6 +255,9 @@
     /// Closes idle connections until there are no more than there should be, or none is idle.
     pub fn shed(&mut self) {
         while !self.slots.settle() && self.drop_oldest() {}
+        if !self.slots.settle() {
+            self.late.clear();
+        }
     }
 
     pub fn put(&mut self, to: ServerId, connection: Connection) {
@@ -265,15 +301,17 @@
     pub status: Status,
     pub answer: Option<Answer>,
     pub report: Option<LoadReport>,
-    /// When a long request's last byte was handed on: its server worked from then on.
+    /// When its last byte was handed on: its server worked from then on. None: never.
     pub since: Option<Nanos>,
     /// Left open for the next one.
     pub connection: Option<Connection>,
+    /// Still coming up, for the next one.
+    pub opening: Option<Opening>,
 }
 
 impl From<Status> for Ended {
     fn from(status: Status) -> Self {
-        Ended { status, answer: None, report: None, since: None, connection: None }
+        Ended { status, answer: None, report: None, since: None, connection: None, opening: None }
     }
 }
 
@@ -281,8 +319,11 @@
 pub struct Attempt {
     pub server: Arc<Server>,
     pub request: Arc<Outgoing>,
-    /// When to give up; for a long body, where that counts from its last byte, as long after it as after the start.
-    pub expires: Nanos,
+    /// How long to wait for the answer from when the request is handed to a connection, or comes whole if it is long: a
+    /// connection that comes up late is no server's slow answer.
+    pub patience: Nanos,
+    /// When to give up however late that was; a long one's time begins when it has come whole.
+    pub deadline: Nanos,
     pub started: Nanos,
     pub budget: Budget,
     pub connect_timeout: Nanos,
@@ -294,50 +335,71 @@
 impl Attempt {
     /// Runs until there is an answer or it expires; giving up closes the connection.
     pub async fn run(self, way: Way) -> Ended {
-        let mut begun = false;
-        if let Some(upload) = self.request.upload().cloned() {
-            let wait = self.expires.saturating_sub(self.started);
-            let expired = async { sleep_until(self.clock.instant(upload.wait().await + wait)).await };
-            let ended = tokio::select! {
-                ended = self.exchange(way, &mut begun) => ended,
-                () = expired => Status::Timeout.into(),
-            };
-            return Ended { since: upload.over(), ..ended };
-        }
-        match timeout_at(self.clock.instant(self.expires), self.exchange(way, &mut begun)).await {
-            Ok(ended) => ended,
-            Err(_) if begun => Status::Timeout.into(),
-            Err(_) => Status::ConnectFailed.into(),
-        }
-    }
-
-    async fn exchange(&self, way: Way, begun: &mut bool) -> Ended {
         let slot = match way {
-            Way::Open(connection) => match self.send(connection, begun).await {
+            Way::Open(connection) => match self.exchange(connection).await {
                 Ok(ended) => return ended,
                 // It had ended unnoticed and nothing was written: the attempt is yet to begin.
                 Err(unsent) => unsent.slot,
             },
             Way::Connect(slot) => slot,
         };
-        let within = Duration::from_nanos(self.connect_timeout);
-        let Ok(Ok(connection)) = timeout(within, Connection::open(self.server.address, slot)).await else {
-            return Status::ConnectFailed.into();
+        match self.connect(slot).await {
+            Ok(connection) => {
+                self.exchange(connection).await.unwrap_or_else(|_| Status::ConnectFailed.into())
+            }
+            Err(ended) => ended,
+        }
+    }
+
+    /// A new connection. One that takes too long, or whose client leaves meanwhile, is left to come up by itself.
+    async fn connect(&self, slot: OwnedSemaphorePermit) -> Result<Connection, Ended> {
+        let now = self.clock.now();
+        let left = if self.request.upload().is_some() { NEVER } else { self.deadline.saturating_sub(now) };
+        let within = Duration::from_nanos(self.connect_timeout.min(left));
+        let mut opening: Opening = Box::pin(Connection::open(self.server.address, slot));
+        let status = tokio::select! {
+            biased;
+            () = self.request.over.cancelled() => Status::Moot,
+            opened = timeout(within, &mut opening) => match opened {
+                Ok(Ok(connection)) => return Ok(connection),
+                Ok(Err(_)) => return Err(Status::ConnectFailed.into()),
+                Err(_) => Status::ConnectFailed,
+            },
         };
-        self.send(connection, begun).await.unwrap_or_else(|_| Status::ConnectFailed.into())
+        Err(Ended { opening: Some(opening), ..status.into() })
     }
 
-    /// Sends on this connection, or returns it if it is certain that nothing was written.
-    async fn send(&self, mut connection: Connection, begun: &mut bool) -> Result<Ended, Connection> {
+    /// Sends on this connection and waits for the answer, or returns it if it is certain that nothing was written.
+    async fn exchange(&self, connection: Connection) -> Result<Ended, Connection> {
         let now = self.clock.now();
         if !self.server.takes_sends(now) {
             return Ok(Status::Moot.into());
         }
+        if self.request.over.is_cancelled() {
+            return Ok(Ended { connection: Some(connection), ..Status::Moot.into() });
+        }
+        if let Some(upload) = self.request.upload() {
+            let wait = self.patience.min(self.deadline.saturating_sub(self.started));
+            let expired = async { sleep_until(self.clock.instant(upload.wait().await + wait)).await };
+            let ended = tokio::select! {
+                ended = self.send(connection, wait) => ended?,
+                () = expired => Status::Timeout.into(),
+            };
+            return Ok(Ended { since: upload.over(), ..ended });
+        }
+        let expires = now.saturating_add(self.patience).min(self.deadline);
+        let sent = self.send(connection, expires.saturating_sub(now));
+        let ended = match timeout_at(self.clock.instant(expires), sent).await {
+            Ok(ended) => ended?,
+            Err(_) => Status::Timeout.into(),
+        };
+        Ok(Ended { since: Some(now), ..ended })
+    }
+
+    async fn send(&self, mut connection: Connection, wait: Nanos) -> Result<Ended, Connection> {
         let upload = self.request.upload();
-        let from = if upload.is_some() { self.started } else { now };
-        let wait = Duration::from_nanos(self.expires.saturating_sub(from));
-        *begun = true;
-        let sent = connection.sender.try_send_request(self.request.request(self.server.address, wait));
+        let request = self.request.request(self.server.address, Duration::from_nanos(wait));
+        let sent = connection.sender.try_send_request(request);
         // An unsent one is off by one for as long as it takes to be sent elsewhere, and goes there at once.
         if upload.is_none() {
             self.written.add();
@@ -350,7 +412,6 @@
             Ok(response) => Ok(self.receive(connection, response).await),
             Err(mut error) => match error.take_message() {
                 Some(_unsent) => {
-                    *begun = false;
                     if upload.is_none() {
                         self.written.take_back();
                     }
@@ -452,7 +513,8 @@
             request: Arc::new(request),
             started: clock.now(),
             budget: Budget(Slots::new(64)),
-            expires: clock.now() + 5_000_000_000,
+            patience: 5_000_000_000,
+            deadline: clock.now() + 5_000_000_000,
             connect_timeout: 5_000_000_000,
             clock,
             written: Written::default(),
