Send nothing by an old file before the agent's first list, where lists are pushed

Cause: what the agent holds counts from a process's first moment, but requests that came before its first answer went by the list of the configuration (driver.rs, known), however old. Ruled out: the watch (the whole list is asked for at once). Change: clients who connect before the first list wait in the kernel until it has come, for a second at most: an agent that is down tells nothing, and readiness does not wait for it. Where discovery is asked nothing changes.

--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -86,3 +86,65 @@
     let seen = String::from_utf8(seen).unwrap();
     assert!(!seen.contains("of one who leaves"), "sent on for a client that had left: {seen}");
 }
+
+/// Guards a restart where lists are pushed: what the agent holds counts from a process's first moment, so those who come
+/// before its first word wait for that, and go where it says.
+#[test]
+fn who_comes_before_the_first_pushed_list_goes_where_that_list_says() {
+    let (old, new) = (Server::start(|_| ok()), Server::start(|_| ok()));
+    let (asked, may_answer) = (Arc::new(Barrier::new(2)), Arc::new(Barrier::new(2)));
+    let (told, text) = ((asked.clone(), may_answer.clone()), list(2, &[("new", new.address)]).to_string());
+    let discovery = Server::start(move |request| {
+        if request.start.contains("index=") {
+            return Then::Hang;
+        }
+        told.0.wait();
+        told.1.wait();
+        Then::Write(answer(200, "", &text))
+    });
+    let node = Running::start(&config(discovery.address, &[("old", old.address)]));
+    asked.wait();
+    let mut client = node.client();
+    client.write(&request("read", "X-Remaining-Ms: 4500\r\n", ""));
+    may_answer.wait();
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    new.next_request();
+    assert!(old.seen.try_recv().is_err(), "it went where only the old file says");
+}
+
+/// Guards readiness: an agent that says nothing holds nobody up for longer than a moment.
+#[test]
+fn an_agent_that_is_silent_at_a_start_does_not_keep_the_node_from_serving() {
+    let server = Server::start(|_| ok());
+    let discovery = Server::start(|_| Then::Hang);
+    let begun = Instant::now();
+    let node = Running::start(&config(discovery.address, &[("s", server.address)]));
+    assert_eq!(node.ask("read").status(), 200);
+    assert!(begun.elapsed() < Duration::from_secs(3), "ready after {:?}", begun.elapsed());
+}
+
+/// Guards discovery and operators against a flood: idle clients that fill all their descriptors while discovery is down
+/// leave it, the console and the servers theirs, and what discovery says at its return is acted upon.
+#[test]
+fn idle_clients_that_fill_the_descriptors_do_not_blind_a_node_whose_discovery_is_down() {
+    let (old, new) = (Server::start(|_| ok()), Server::start(|_| ok()));
+    let (held, discovery) = Discovery::start(&[("old", old.address)]);
+    held.tell(1, "no list".to_owned()); // it fails each call
+    let mut config = with_console(discovery.address, &[("old", old.address)]);
+    config["limits"]["sockets"] = 64.into();
+    config["settings"]["Discovery"] = "ask".into();
+    let node = Running::start(&config);
+    let mut worker = node.client();
+    assert_eq!(worker.ask("read").status(), 200);
+    let _idle: Vec<Client> = (0..64).map(|_| node.client()).collect();
+    let filled = Instant::now();
+    held.tell(2, list(2, &[("new", new.address)]).to_string());
+    while node.call("GET", "/status/metrics", "").status() != 200 || node.figure("members") != 1 || {
+        new.seen.try_iter().count() == 0
+    } {
+        assert!(filled.elapsed() < PATIENCE, "discovery's word was not acted upon");
+        let mut client = node.client();
+        client.write(&request("read", "X-Remaining-Ms: 4500\r\n", "")); // waits until an idle one's time is over
+        let _ = client.read();
+    }
+}
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -238,8 +238,12 @@
         self.inputs.clone()
     }
 
-    /// The list as it was last held; the module's first event.
-    pub fn known(&mut self, list: List) {
+    /// The list as it was last held; the module's first event. Where lists are pushed the first one is awaited.
+    pub fn known(&mut self, list: List, pushed: bool) {
+        if pushed {
+            self.life.await_list(self.clock.now());
+            self.live();
+        }
         self.list(ListKind::Persisted, list);
     }
 
@@ -281,11 +285,13 @@
                 }
                 self.settle(id);
             }
+            Input::Opened { server, connection } => self.keep(server, connection),
             Input::List(list) => {
                 // One that names no change still says that discovery answers.
                 let kind = if list.snapshot { ListKind::Complete } else { ListKind::Partial };
                 self.list(kind, list);
-            Input::Opened { server, connection } => self.keep(server, connection),
+                self.life.listed();
+                self.live();
             }
             Input::ListFailed => self.handle(Event::Servers { kind: ListKind::Failed, entries: Vec::new() }),
             Input::Peer { from, bytes } => self.handle(Event::Peer { from, bytes }),
@@ -513,23 +519,17 @@
             open.end(Some(reply), &mut self.figures);
         }
         let terminal = open.client.is_none();
-        let latency = self.clock.now() - ended.since.unwrap_or(sent).max(sent);
-        self.tally.ended(server, ended.status, latency);
-        let (status, report) = (ended.status, ended.report);
-        self.handle(Event::Outcome { id, attempt, server, status, latency, terminal, report });
-        self.settle(id);
-    }
         if let Some(connection) = ended.connection {
             self.keep(server, connection);
         }
         if let Some(opening) = ended.opening {
             self.pool.await_late(server, opening, self.inputs.clone());
         }
-
-    fn settle(&mut self, id: RequestId) {
-        if self.table.get(&id).is_some_and(Open::is_over) {
-            self.table.remove(&id);
-        }
+        let latency = self.clock.now() - ended.since.unwrap_or(sent).max(sent);
+        self.tally.ended(server, ended.status, latency);
+        let (status, report) = (ended.status, ended.report);
+        self.handle(Event::Outcome { id, attempt, server, status, latency, terminal, report });
+        self.settle(id);
     }
 
     /// Keeps a connection for the next attempt there, if there may be one.
@@ -539,6 +539,12 @@
         }
     }
 
+    fn settle(&mut self, id: RequestId) {
+        if self.table.get(&id).is_some_and(Open::is_over) {
+            self.table.remove(&id);
+        }
+    }
+
     fn list(&mut self, kind: ListKind, list: List) {
         let now = self.clock.now();
         let entries: Vec<ServerEntry> = list.endpoints.iter().map(|line| self.entry(line)).collect();
@@ -795,7 +801,7 @@
             TcpListener::bind("127.0.0.1:0").await.unwrap(),
         );
         let (mut driver, inputs) = driver();
-        driver.known(list("old", old.local_addr().unwrap(), 0));
+        driver.known(list("old", old.local_addr().unwrap(), 0), false);
         let outgoing = Outgoing::new(
             Method::GET,
             Uri::from_static("/"),
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -177,7 +177,9 @@
                     () = accept => {}
                     _ = posture.wait_for(|posture| !posture.accepts) => {}
                 }
+                let mut listed = posture.clone();
                 // Once a client is due to be left without an answer, waiting for its slot serves nobody.
+                    let _ = listed.wait_for(|posture| posture.listed).await;
                 let ends_at = self.posture.borrow().ends_at.unwrap_or(self.clock.now());
                 let left = timeout_at(self.clock.instant(ends_at), self.leave(listener, &closing)).await;
                 if left.is_err() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -161,7 +161,7 @@
             Some(Err(error)) => warn!(error, "nothing is shared with another process of this node"),
             None => {}
         }
-        driver.known(config.known.unwrap_or_default());
+        driver.known(config.known.unwrap_or_default(), !asks);
         let opens = driver.posture().borrow().opens;
         let door = front::Door::new(socket, opens).map_err(cannot("listen", config.listen))?;
         let (fleet, name) = (None, config.name);
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -5,6 +5,9 @@
 const ACCEPT_AFTER_STOP: Nanos = 550_000_000; // for what clients still open then
 /// For a predecessor to make room: its requests last for less, and the platform waits 6 s for a successor.
 const MAKE_ROOM: Nanos = 1_000_000_000;
+/// For an agent to push the first list: what it holds counts as told from a process's first moment. One that is down
+/// tells nothing, and readiness does not wait for it.
+const FIRST_LIST: Nanos = 1_000_000_000;
 const OVER_DEADLINE: Nanos = 500_000_000; // after the longest deadline from a stop: all answers are out
 /// From standby on, until connections without a request are closed: the front has by then sent clients
 /// elsewhere, and what is left of the 4 s that a drain may take covers the longest answer.
@@ -43,6 +46,8 @@
     pub accepts: bool,
     /// When the node ends, whatever is left by then.
     pub ends_at: Option<Nanos>,
+    /// It is known where requests may go, or will not be any sooner: those who connect until then are let wait.
+    pub listed: bool,
 }
 
 /// One node's life.
@@ -58,8 +63,17 @@
 
 impl Life {
     /// A node that works; `longest` is the longest time that a client waits for an answer.
+    list_by: Option<Nanos>, // while the first list is still to be pushed: when to go on without
     pub fn new(longest: Nanos) -> Self {
-        Life { state: State::Active, retired: 0, retire_at: None, open_by: None, accepts: true, longest }
+        Life {
+            state: State::Active,
+            retired: 0,
+            retire_at: None,
+            open_by: None,
+            list_by: None,
+            accepts: true,
+            longest,
+        }
     }
 
     /// Starts beside a predecessor that has yet to make room, for which it has a while.
@@ -73,6 +87,16 @@
     }
 
     /// Connections without a request are to be closed, to make room.
+    /// Starts by a list of old, where the one that counts is about to be pushed.
+    pub fn await_list(&mut self, now: Nanos) {
+        self.list_by = Some(now + FIRST_LIST);
+    }
+
+    /// It has come.
+    pub fn listed(&mut self) {
+        self.list_by = None;
+    }
+
     pub fn retire(&mut self) {
         self.retired += 1;
     }
@@ -100,6 +124,7 @@
         if let State::Stopping { since } = self.state {
             self.accepts &= now < since + ACCEPT_AFTER_STOP;
         }
+        self.list_by = self.list_by.filter(|&by| now < by);
     }
 
     /// When time alone next changes the posture.
@@ -108,7 +133,7 @@
             State::Stopping { since } if self.accepts => Some(since + ACCEPT_AFTER_STOP),
             _ => self.retire_at,
         };
-        [of_state, self.open_by].into_iter().flatten().min()
+        [of_state, self.open_by, self.list_by].into_iter().flatten().min()
     }
 
     /// As of the last order or tick.
@@ -132,7 +157,8 @@
     /// One word for the log.
     pub fn name(&self) -> &'static str {
         match self.state {
-            State::Active if self.open_by.is_some() => "starting",
+            State::Active if self.open_by.is_some() || self.list_by.is_some() => "starting",
+            listed: self.list_by.is_none(),
             State::Active => "active",
             State::Standby { .. } => "standby",
             State::Stopping { .. } => "stopping",
