Let no stop or close cut a request that has come, or an answer that is on its way

Change: a connection on which a request has begun to come is closed with that request's answer; after each end the write side is shut and what still comes is read for 1 s, 0.1 s where others wait for the slot; what comes after a stop is answered by 3 s or its deadline, and half a second; every 40 ms a waiting request looks whether its peer has ended. The console sets TCP_NODELAY.

--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -87,6 +87,99 @@
     assert!(!seen.contains("of one who leaves"), "sent on for a client that had left: {seen}");
 }
 
+/// Guards the same where the client has sent more than its request: the bytes behind it hide its end from a reader that
+/// takes one message after the other.
+#[test]
+fn a_client_that_leaves_behind_more_than_its_request_has_left() {
+    let server = Server::start(|_| Then::Hang);
+    let (_held, discovery) = Discovery::start(&[("s", server.address)]);
+    let node = Running::start(&with_console(discovery.address, &[("s", server.address)]));
+    let mut leaver = node.client();
+    leaver.write(&(request("read", "X-Remaining-Ms: 4500\r\n", "x") + "GET /rea"));
+    server.next_request();
+    let gone = Instant::now();
+    drop(leaver);
+    node.wait_for("pending", 0);
+    assert!(
+        gone.elapsed() < Duration::from_secs(2),
+        "noticed only at its deadline, after {:?}",
+        gone.elapsed()
+    );
+}
+
+/// Guards requests that are on their way when the node begins to close what rests: one of which a part has come is
+/// answered, with a close, and not cut off.
+#[test]
+fn half_a_request_that_has_come_when_a_stop_closes_what_rests_is_answered() {
+    let server = Server::start(|_| ok());
+    let mut node = Running::before(&[("s", server.address)]);
+    let (mut halved, mut resting) = (node.client(), node.client());
+    assert_eq!((halved.ask("read").status(), resting.ask("read").status()), (200, 200));
+    let text = request("read", "X-Remaining-Ms: 3000\r\n", "ping");
+    let (first, second) = text.split_at(text.len() / 2);
+    halved.write(first);
+    node.stop();
+    assert!(resting.read().is_none(), "what rests is closed");
+    halved.write(second);
+    let answer = halved.read().expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    drop(halved);
+    node.join();
+}
+
+/// Guards answers: bytes that come behind a request whose answer says close do not turn the close into a reset, with
+/// which what the kernel has not yet sent of the answer would go.
+#[test]
+fn a_close_over_unread_bytes_is_no_reset() {
+    let (release, released) = mpsc::channel::<()>();
+    let released = Mutex::new(released);
+    let server = Server::start(move |_| {
+        released.lock().unwrap().recv_timeout(PATIENCE).unwrap();
+        Then::Write(answer(200, "", &"y".repeat(LONG)))
+    });
+    let mut node = Running::before(&[("s", server.address)]);
+    let mut client = TcpStream::connect(node.address).unwrap();
+    client.set_read_timeout(Some(PATIENCE)).unwrap();
+    let behind = "x".repeat(256 << 10); // more than is read ahead
+    std::io::Write::write_all(&mut client, request("read", "X-Remaining-Ms: 4500\r\n", "").as_bytes())
+        .unwrap();
+    server.next_request();
+    std::io::Write::write_all(&mut client, behind.as_bytes()).unwrap();
+    node.stop();
+    // The stop is known to the node once a new client is told to go.
+    let mut other = node.client();
+    other.write("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    while other.read().expect("an answer").header("connection") != Some("close") {
+        other = node.client();
+        other.write("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+    release.send(()).unwrap();
+    drop(other);
+    node.join(); // whatever it does about the connection it has done
+    let mut got = Vec::new();
+    client.read_to_end(&mut got).expect("an answer and an end, no reset");
+    assert_eq!(got.iter().filter(|&&byte| byte == b'y').count(), LONG, "bytes of the answer");
+}
+
+/// Guards requests that come after a stop: each has its final answer before the platform's kill may come, which counts
+/// no deadline as longer than 3 s.
+#[test]
+fn what_comes_after_a_stop_is_answered_before_a_kill_may_come() {
+    let server = Server::start(|request| if request.body == b"hang" { Then::Hang } else { ok() });
+    let mut node = Running::before(&[("s", server.address)]);
+    let mut client = node.client();
+    assert_eq!(client.ask("read").status(), 200);
+    let stopped = Instant::now();
+    node.stop();
+    while node.ask("read").header("connection") != Some("close") {}
+    client.write(&request("read", "X-Remaining-Ms: 5000\r\n", "hang"));
+    let answer = client.read().expect("an answer");
+    assert!(matches!(answer.status(), 502 | 503), "{}", answer.status());
+    assert!(stopped.elapsed() < Duration::from_millis(3_700), "answered after {:?}", stopped.elapsed());
+    drop(client);
+    node.join();
+}
+
 /// Guards a restart where lists are pushed: what the agent holds counts from a process's first moment, so those who come
 /// before its first word wait for that, and go where it says.
 #[test]
--- a/crates/node/src/console/mod.rs
+++ b/crates/node/src/console/mod.rs
@@ -100,6 +100,9 @@
             Ok::<_, Infallible>(answer)
         }
     });
+    if stream.set_nodelay(true).is_err() {
+        return; // a stream that takes no option has ended already
+    }
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .keep_alive(false)
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -1,11 +1,12 @@
 //! Clients: their connections, their requests on the way to the driver, and the answers.
 
 use std::convert::Infallible;
+use std::future::pending;
 use std::io;
 use std::io::ErrorKind::{ConnectionAborted, Interrupted, WouldBlock};
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -18,13 +19,14 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::io::{AsyncRead, AsyncWrite};
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, Interest};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc::UnboundedSender, oneshot, watch, OwnedSemaphorePermit};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
 
-use tokio_util::sync::CancellationToken;
 use crate::body::{gather, Broken, Budget, Gathered, Held, Relay, Upload, Waited};
 use crate::clock::Clock;
 use crate::head::Asked;
@@ -45,7 +47,14 @@
 const FIRST_TIMEOUT: Duration = Duration::from_millis(2_850);
 const FIRST_BODY_TIMEOUT: Duration = Duration::from_millis(600); // the least that a slow head leaves its body
 const BODY_RATE: f64 = 48_000.0; // bytes a second that a body comes with at least: clients may take 64 kB/s
-const LINGER: Duration = Duration::from_secs(1); // for a client that still sends what nobody reads any more
+/// After the write side has ended, for what a client has sent before it saw that: a close over unread bytes resets
+/// the connection, and with it the end of an answer that the client has not read yet.
+const LINGER: Duration = Duration::from_secs(1);
+const LINGER_FULL: Duration = Duration::from_millis(100); // the same while others wait for the slot
+/// Between looks at a client that has sent more than its request: hyper does not read on then, and would not see it
+/// leave. An attempt must not begin 100 ms after that.
+const LOOK: Duration = Duration::from_millis(40);
+const REST: Duration = Duration::from_millis(20); // between looks whether a request that has begun to come is there
 const HEAD_MOST: usize = 16 << 10; // bytes buffered of a request: all slots together must fit in memory
 const SPARE: usize = 32; // connections short of the most at which they are closed after their answer
 const BACKLOG: u32 = 1024; // connections that the kernel holds until they are accepted
@@ -168,7 +177,9 @@
         };
         match listener {
             Ok(listener) => {
+                let mut listed = posture.clone();
                 let accept = async {
+                    let _ = listed.wait_for(|posture| posture.listed).await;
                     loop {
                         self.accept(&listener, &closing).await;
                     }
@@ -177,9 +188,7 @@
                     () = accept => {}
                     _ = posture.wait_for(|posture| !posture.accepts) => {}
                 }
-                let mut listed = posture.clone();
                 // Once a client is due to be left without an answer, waiting for its slot serves nobody.
-                    let _ = listed.wait_for(|posture| posture.listed).await;
                 let ends_at = self.posture.borrow().ends_at.unwrap_or(self.clock.now());
                 let left = timeout_at(self.clock.instant(ends_at), self.leave(listener, &closing)).await;
                 if left.is_err() {
@@ -226,11 +235,10 @@
         if stream.set_nodelay(true).is_ok() {
             let (front, stream, closing) = (self.clone(), Arc::new(stream), closing.clone());
             tokio::spawn(async move {
-                let unread = AtomicBool::new(false);
-                front.connection(Shared(stream.clone()), &unread, closing).await;
-                if unread.into_inner() {
-                    let _ = timeout(LINGER, read_empty(&stream)).await;
-                }
+                front.connection(Shared(stream.clone()), Some(stream.clone()), closing).await;
+                let _ = SockRef::from(&*stream).shutdown(Shutdown::Write); // an error: it has ended already
+                let linger = if front.room.clients.free() == 0 { LINGER_FULL } else { LINGER };
+                let _ = timeout(linger, read_empty(&stream)).await;
                 drop(slot);
             });
         }
@@ -255,8 +263,9 @@
         }
     }
 
+    /// Serves one connection until it ends; `peer` is its socket, where there is one.
     async fn connection(
-        &self, stream: impl AsyncRead + AsyncWrite + Unpin, unread: &AtomicBool,
+        &self, stream: impl AsyncRead + AsyncWrite + Unpin, peer: Option<Arc<TcpStream>>,
         mut closing: watch::Receiver<bool>,
     ) {
         let mut posture = self.posture.clone();
@@ -277,8 +286,8 @@
         tokio::pin!(due);
         let service = service_fn(|request| {
             let first = line.begin().then_some(origin);
-            let under_way = UnderWay { line: line.clone(), origin };
-            self.answer(request, unread, under_way, first)
+            let under_way = UnderWay { line: line.clone(), origin, peer: peer.clone() };
+            self.answer(request, under_way, first)
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -290,10 +299,20 @@
         tokio::select! {
             biased;
             ended = connection.as_mut() => return self.ended(ended),
-            _ = closing.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
-            _ = posture.wait_for(|now| now.retired > retired) => connection.as_mut().graceful_shutdown(),
+            _ = closing.wait_for(|closing| *closing) => {}
+            _ = posture.wait_for(|now| now.retired > retired) => {}
             why = due.as_mut() => return self.cut(why),
         }
+        // hyper closes what rests, also over the beginning of a request: that one is still answered, with a close.
+        while line.has_begun() {
+            tokio::select! {
+                biased;
+                ended = connection.as_mut() => return self.ended(ended),
+                why = due.as_mut() => return self.cut(why),
+                () = sleep(REST) => {}
+            }
+        }
+        connection.as_mut().graceful_shutdown();
         tokio::select! {
             _ = connection => {} // how it ends shows at the request on it
             why = due => self.cut(why),
@@ -322,16 +341,15 @@
     }
 
     async fn answer(
-        &self, request: Request<Incoming>, unread: &AtomicBool, under_way: UnderWay, first: Option<Instant>,
+        &self, request: Request<Incoming>, under_way: UnderWay, first: Option<Instant>,
     ) -> Result<Response<Lasting>, Infallible> {
-        let answered = self.respond(request, unread, &under_way.line, first).await;
+        let answered = self.respond(request, &under_way, first).await;
         // Who sends no proper request is not given another try at the cost of a client's slot.
         let improper = answered.is_err();
         let mut response = match answered {
             Ok(response) => response,
             Err(status) => {
                 count(&self.tally.rejected);
-                unread.store(true, Ordering::Relaxed);
                 let mut response = Response::new(Outgo::nothing());
                 *response.status_mut() = status;
                 response
@@ -344,8 +362,9 @@
     }
 
     async fn respond(
-        &self, request: Request<Incoming>, unread: &AtomicBool, line: &Line, first: Option<Instant>,
+        &self, request: Request<Incoming>, under_way: &UnderWay, first: Option<Instant>,
     ) -> Result<Response<Outgo>, StatusCode> {
+        let line = &*under_way.line;
         let arrived = self.pulse.arrival(self.clock.now());
         let (head, mut body) = request.into_parts();
         if head.uri.path() == "/health/ready" && matches!(head.method, Method::GET | Method::HEAD) {
@@ -382,6 +401,7 @@
         let arrived = if bodiless { arrived } else { self.pulse.arrival(self.clock.now()) };
         let deadline = self.deadlines[class];
         let expires = arrived + remaining.unwrap_or(deadline).min(deadline);
+        let expires = self.posture.borrow().answers_by.map_or(expires, |by| expires.min(by));
         let body = match gathered {
             all @ Gathered { whole: true, .. } => Payload::Held(all.into()),
             some => Payload::Long(Arc::new(Upload::new(some, body, self.clock))),
@@ -404,11 +424,12 @@
         };
         let mut waiting = Waiting { inputs: &self.inputs, id, over: &outgoing.over, answered: false };
         let _ = self.inputs.send(Input::Request(arrival));
-        let reply = reply.await.unwrap_or(Reply::Failed);
+        let reply = tokio::select! {
+            biased;
+            reply = reply => reply.unwrap_or(Reply::Failed),
+            () = under_way.left() => return Err(StatusCode::BAD_REQUEST), // nobody is there to read it
+        };
         waiting.answered = true;
-        if outgoing.upload().is_some_and(|upload| upload.over().is_none()) {
-            unread.store(true, Ordering::Relaxed);
-        }
         Ok(response(reply, asks_head))
     }
 }
@@ -429,6 +450,29 @@
 struct UnderWay {
     line: Arc<Line>,
     origin: Instant,
+    peer: Option<Arc<TcpStream>>,
+}
+
+impl UnderWay {
+    /// Waits until the client has left behind more bytes than its request; without such hyper sees it itself.
+    async fn left(&self) {
+        let Some(peer) = &self.peer else { return pending().await };
+        loop {
+            sleep(LOOK).await;
+            if has_left(peer).await {
+                return;
+            }
+        }
+    }
+}
+
+/// Whether the other side has ended its writing, as the kernel tells it beside what is still to be read.
+async fn has_left(peer: &TcpStream) -> bool {
+    tokio::select! {
+        biased;
+        ready = peer.ready(Interest::READABLE) => ready.is_ok_and(|ready| ready.is_read_closed()),
+        () = std::future::ready(()) => false,
+    }
 }
 
 impl Drop for UnderWay {
@@ -528,12 +572,14 @@
 struct Waiting<'a> {
     inputs: &'a UnboundedSender<Input>,
     id: RequestId,
+    over: &'a CancellationToken,
     answered: bool,
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         if !self.answered {
+            self.over.cancel(); // at once: the driver may have much to do before it comes to this
             let _ = self.inputs.send(Input::Gone(self.id));
         }
     }
@@ -574,14 +620,12 @@
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
     /// What a peer gets that sends this and then nothing more, and after which time the connection ends.
-    over: &'a CancellationToken,
     async fn sent(text: &str) -> (String, Duration) {
         let (inputs, _held) = tokio::sync::mpsc::unbounded_channel();
         let mut names = Names::default();
         names.classes.number("read");
         let class = Class {
             aim: 4_000_000_000,
-            self.over.cancel(); // at once: the driver may have much to do before it comes to this
             deadline: 5_000_000_000,
             worth: 1.0,
             late_worth: 0.0,
@@ -604,7 +648,7 @@
         let begun = Instant::now();
         let serving = front.clone();
         let connection = tokio::spawn(async move {
-            serving.connection(stream, &AtomicBool::new(false), closing).await;
+            serving.connection(stream, None, closing).await;
             drop(slot);
         });
         peer.write_all(text.as_bytes()).await.unwrap();
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -9,6 +9,10 @@
 /// tells nothing, and readiness does not wait for it.
 const FIRST_LIST: Nanos = 1_000_000_000;
 const OVER_DEADLINE: Nanos = 500_000_000; // after the longest deadline from a stop: all answers are out
+/// The longest deadline that the platform waits for before it kills: for what comes after a stop there is no more, and
+/// what a kill finds unanswered of that is lost.
+const LONGEST_COUNTED: Nanos = 3_000_000_000;
+const LAST_WAY: Nanos = 20_000_000; // before the end, for the last answer's way
 /// From standby on, until connections without a request are closed: the front has by then sent clients
 /// elsewhere, and what is left of the 4 s that a drain may take covers the longest answer.
 const IDLE_IN_STANDBY: Nanos = 1_000_000_000;
@@ -42,12 +46,14 @@
     pub retired: u64,
     /// Clients may connect at all: there is room for them.
     pub opens: bool,
+    /// It is known where requests may go, or will not be any sooner: those who connect until then are let wait.
+    pub listed: bool,
     /// New connections are taken.
     pub accepts: bool,
     /// When the node ends, whatever is left by then.
     pub ends_at: Option<Nanos>,
-    /// It is known where requests may go, or will not be any sooner: those who connect until then are let wait.
-    pub listed: bool,
+    /// Until when requests that come from now on have to be answered, if the node is to end.
+    pub answers_by: Option<Nanos>,
 }
 
 /// One node's life.
@@ -57,13 +63,13 @@
     retired: u64,
     retire_at: Option<Nanos>,
     open_by: Option<Nanos>, // while the predecessor makes room: when to go on without
+    list_by: Option<Nanos>, // while the first list is still to be pushed: when to go on without
     accepts: bool,
     longest: Nanos,
 }
 
 impl Life {
     /// A node that works; `longest` is the longest time that a client waits for an answer.
-    list_by: Option<Nanos>, // while the first list is still to be pushed: when to go on without
     pub fn new(longest: Nanos) -> Self {
         Life {
             state: State::Active,
@@ -81,12 +87,6 @@
         self.open_by = Some(now + MAKE_ROOM);
     }
 
-    /// There is room.
-    pub fn open(&mut self) {
-        self.open_by = None;
-    }
-
-    /// Connections without a request are to be closed, to make room.
     /// Starts by a list of old, where the one that counts is about to be pushed.
     pub fn await_list(&mut self, now: Nanos) {
         self.list_by = Some(now + FIRST_LIST);
@@ -97,6 +97,12 @@
         self.list_by = None;
     }
 
+    /// There is room.
+    pub fn open(&mut self) {
+        self.open_by = None;
+    }
+
+    /// Connections without a request are to be closed, to make room.
     pub fn retire(&mut self) {
         self.retired += 1;
     }
@@ -118,13 +124,13 @@
     /// Does what has come due.
     pub fn tick(&mut self, now: Nanos) {
         self.open_by = self.open_by.filter(|&by| now < by);
+        self.list_by = self.list_by.filter(|&by| now < by);
         if self.retire_at.is_some_and(|at| at <= now) {
             (self.retire_at, self.retired) = (None, self.retired + 1);
         }
         if let State::Stopping { since } = self.state {
             self.accepts &= now < since + ACCEPT_AFTER_STOP;
         }
-        self.list_by = self.list_by.filter(|&by| now < by);
     }
 
     /// When time alone next changes the posture.
@@ -138,10 +144,13 @@
 
     /// As of the last order or tick.
     pub fn posture(&self) -> Posture {
-        let ends_at = match self.state {
-            State::Stopping { since } => Some(since + self.longest + OVER_DEADLINE),
+        let stopping = match self.state {
+            State::Stopping { since } => Some(since),
             _ => None,
         };
+        let ends_at = stopping.map(|since| since + self.longest + OVER_DEADLINE);
+        let answers_by =
+            stopping.map(|since| since + self.longest.min(LONGEST_COUNTED) + OVER_DEADLINE - LAST_WAY);
         // One that stops still says yes: the platform takes it out itself, and what comes meanwhile is served.
         let ready = !matches!(self.state, State::Standby { .. });
         Posture {
@@ -149,8 +158,10 @@
             keeps: self.state == State::Active,
             retired: self.retired,
             opens: self.open_by.is_none(),
+            listed: self.list_by.is_none(),
             accepts: self.accepts,
             ends_at,
+            answers_by,
         }
     }
 
@@ -158,7 +169,6 @@
     pub fn name(&self) -> &'static str {
         match self.state {
             State::Active if self.open_by.is_some() || self.list_by.is_some() => "starting",
-            listed: self.list_by.is_none(),
             State::Active => "active",
             State::Standby { .. } => "standby",
             State::Stopping { .. } => "stopping",
--- a/crates/node/src/line.rs
+++ b/crates/node/src/line.rs
@@ -79,6 +79,11 @@
         self.head.store(0, Ordering::Relaxed);
     }
 
+    /// Whether bytes have come that no whole request accounts for: the next one's beginning.
+    pub fn has_begun(&self) -> bool {
+        self.head.load(Ordering::Relaxed) > 0
+    }
+
     /// Its answer is out of the node's hands.
     pub fn free(&self, now: Nanos) {
         self.freed.store(now, Ordering::Relaxed);
