Write no repeat after its window, though its connection comes up late

Ruled out: the module's own reckoning (from the first attempt that may have run; test since long), clients' repeats. Cause: the module asks whether the window holds when it decides (pick.rs, in_group); the attempt is written when its connection is up (upstream.rs), and nothing told it until when. Change: Send carries how soon it has to be written; connecting ends then, and what is later is not written. Measured: the socket test reads the repeat without the mend and nothing with it; module check ok.

--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -47,6 +47,18 @@
         self.listener.local_addr().unwrap()
     }
 
+    /// Waits until somebody is connecting, as the kernel tells it.
+    fn wait_for_a_syn(&self) {
+        let (begun, to) = (Instant::now(), format!("0100007F:{:04X}", self.address().port()));
+        let connecting = |line: &str| {
+            let mut fields = line.split_whitespace().skip(2);
+            fields.next() == Some(to.as_str()) && fields.next() == Some("02") // SYN_SENT
+        };
+        while !std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(connecting) {
+            assert!(begun.elapsed() < PATIENCE, "nobody connects");
+        }
+    }
+
     /// Makes room, and returns the next connection that comes up.
     fn relieve(&self) -> TcpStream {
         drop(self.listener.accept().unwrap());
@@ -241,3 +253,37 @@
         let _ = client.read();
     }
 }
+
+/// Guards the window in which a repeat is known: one whose connection comes up after it is not written any more.
+#[test]
+fn a_repeat_whose_connection_comes_up_after_its_window_is_not_sent() {
+    let full = Full::new();
+    let (listed, may_break) = (Arc::new(Barrier::new(2)), Arc::new(Barrier::new(2)));
+    let told = (listed.clone(), may_break.clone());
+    let breaks = Server::start(move |_| {
+        told.0.wait();
+        told.1.wait();
+        Then::WriteAndClose(String::new())
+    });
+    let (held, discovery) = Discovery::start(&[("breaks", breaks.address)]);
+    let mut config = with_console(discovery.address, &[("breaks", breaks.address)]);
+    config["settings"]["Limits"]["ConnectTimeout"] = 4_000_000_000u64.into();
+    config["settings"]["Limits"]["MaxAttempts"] = 2.into();
+    let class = &mut config["settings"]["Categories"][1];
+    class["Semantics"] = "by_key".into();
+    class["KeyTtl"] = 300_000_000u64.into();
+    let node = Running::start(&config);
+    let mut client = node.client();
+    client.write(&request("pay", "X-Remaining-Ms: 4500\r\n", "once"));
+    listed.wait();
+    held.tell(2, list(2, &[("breaks", breaks.address), ("full", full.address())]).to_string());
+    node.wait_for("members", 2);
+    may_break.wait();
+    full.wait_for_a_syn();
+    let mut late = full.relieve(); // a second after the first SYN
+    late.set_read_timeout(Some(Duration::from_millis(500))).unwrap();
+    let mut buffer = [0; 64];
+    assert!(!matches!(late.read(&mut buffer), Ok(1..)), "written after its window");
+    let answer = client.read().expect("an answer");
+    assert_eq!(answer.status(), 503, "every server knows the repeat, so it may be asked for again");
+}
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -362,6 +362,8 @@
         server: ServerId,
         /// Its time-out; 0: until the client gives up.
         timeout: Nanos,
+        /// How soon it has to be written, or not at all: a repeat that is only known for a while.
+        within: Option<Nanos>,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/crates/decide/src/policy/attempts.rs
+++ b/crates/decide/src/policy/attempts.rs
@@ -32,7 +32,14 @@
         let depth = (server.out as usize).min(DEPTHS - 1);
         self.sends += 1;
         let (server, zone, cell) = (server_id, server.entry.zone, server.entry.cell);
-        out.push(Action::Send { id, server, timeout });
+        // Its connection may come up late, and then it may not go any more.
+        let window = match self.set.classes[held.class].effect {
+            Effect::Keyed { window, .. } => Some(window),
+            _ => None,
+        };
+        let ran = held.attempts.iter().filter(|a| a.ran).map(|a| a.sent).min();
+        let within = window.zip(ran).map(|(w, ran)| ran.saturating_add(w).saturating_sub(now));
+        out.push(Action::Send { id, server, timeout, within });
         let held = self.requests.get_mut(&id).expect("it has just been looked at");
         let timeout = if timeout == 0 { held.deadline - now } else { timeout };
         let long = held.long;
--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -125,7 +125,7 @@
     loop {
         for action in std::mem::take(&mut out) {
             let (at, what) = match action {
-                Action::Send { id, server, timeout } => {
+                Action::Send { id, server, timeout, .. } => {
                     let held = open.get_mut(&id.0).expect("only what is open is sent");
                     let attempt = held.sent.len() as u32;
                     held.sent.push((now, false));
--- a/crates/decide/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -6,8 +6,10 @@
 use merlinfold_decide::interface::*;
 use proptest::prelude::*;
 
+const WINDOW: Nanos = 300 * MS;
+
 fn keyed(group: Group) -> Effect {
-    Effect::Keyed { group, window: 300 * MS }
+    Effect::Keyed { group, window: WINDOW }
 }
 
 fn node(effect: Effect, servers: u32) -> Node {
@@ -93,6 +95,29 @@
     assert!(refused(&end), "where all servers share the keys a refusal is allowed");
 }
 
+/// Guards the window where the host is late: its connection may come up after the window is over.
+#[test]
+fn a_keyed_repeat_says_how_soon_it_has_to_be_written() {
+    let within = |actions: &[Action]| {
+        actions.iter().find_map(|action| match action {
+            Action::Send { within, .. } => Some(*within),
+            _ => None,
+        })
+    };
+    let mut node = Node::new(settings(vec![class(keyed(Group::All)), class(Effect::Safe)]), 6, 3);
+    let (id, first) = node.ask(0, S);
+    assert_eq!(within(&first), Some(None), "a first attempt may go whenever it can");
+    node.at += 100 * MS;
+    let again = node.end(id, 0, sent(&first).unwrap(), Status::ConnectFailed, 100 * MS);
+    assert_eq!(within(&again), Some(None), "nothing has run yet");
+    node.at += 100 * MS;
+    let last = node.end(id, 1, sent(&again).unwrap(), Status::Reset, 100 * MS);
+    assert_eq!(within(&last), Some(Some(WINDOW - 100 * MS)), "counted from the one that may have run");
+    let (id, first) = node.ask(1, S);
+    let again = node.end(id, 0, sent(&first).unwrap(), Status::Reset, 0);
+    assert_eq!(within(&again), Some(None), "a safe one is known for ever");
+}
+
 #[test]
 fn a_keyed_request_of_a_zone_is_failed_not_refused_once_it_may_have_run() {
     let mut node = node(keyed(Group::Zone), 1);
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -343,7 +343,7 @@
     let mut out = Reply { Node: Some(node), ..Reply::default() };
     let hex = |id: RequestId| Some(format!("{:016x}", id.0));
     match action {
-        Action::Send { id, server, timeout } => {
+        Action::Send { id, server, timeout, .. } => {
             out.msg = "Issue";
             out.Req = hex(id);
             out.Server = Some(servers.name(server.0 as usize));
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -486,7 +486,7 @@
     fn act(&mut self, node: usize, action: Action) {
         let life = self.nodes[node].life;
         match action {
-            Action::Send { id, server, timeout } => self.send(node, id, server, timeout),
+            Action::Send { id, server, timeout, .. } => self.send(node, id, server, timeout),
             Action::Cancel { id, attempt } => {
                 let job = self.nodes[node].open.get(&id).and_then(|open| open.attempts.get(attempt as usize));
                 let Some(&job) = job else { return };
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -655,7 +655,7 @@
 
     fn carry_out(&mut self, now: Nanos, action: Action) {
         match action {
-            Action::Send { id, server, timeout } => self.send(now, id, server, timeout),
+            Action::Send { id, server, timeout, within } => self.send(now, id, server, timeout, within),
             Action::Cancel { id, attempt } => self.cancel(now, id, attempt),
             Action::Refuse { id, retry_after } => self.answer(id, Reply::Refused { retry_after }),
             Action::Fail { id } => self.answer(id, Reply::Failed),
@@ -679,7 +679,7 @@
         self.settle(id);
     }
 
-    fn send(&mut self, now: Nanos, id: RequestId, to: ServerId, timeout: Nanos) {
+    fn send(&mut self, now: Nanos, id: RequestId, to: ServerId, timeout: Nanos, within: Option<Nanos>) {
         let Some(open) = self.table.get_mut(&id) else { return };
         let attempt = open.attempts.len() as u32;
         let server = &self.servers[to.0 as usize];
@@ -694,6 +694,7 @@
                 patience: wait,
                 deadline: open.deadline,
                 started: now,
+                begin_by: within.map_or(Nanos::MAX, |within| now.saturating_add(within)),
                 budget: Budget(self.room.bodies.clone()),
                 connect_timeout: self.limits.connect_timeout,
                 clock: self.clock,
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -325,6 +325,8 @@
     /// When to give up however late that was; a long one's time begins when it has come whole.
     pub deadline: Nanos,
     pub started: Nanos,
+    /// When it has to be written at the latest.
+    pub begin_by: Nanos,
     pub budget: Budget,
     pub connect_timeout: Nanos,
     pub clock: Clock,
@@ -355,6 +357,7 @@
     async fn connect(&self, slot: OwnedSemaphorePermit) -> Result<Connection, Ended> {
         let now = self.clock.now();
         let left = if self.request.upload().is_some() { NEVER } else { self.deadline.saturating_sub(now) };
+        let left = left.min(self.begin_by.saturating_sub(now));
         let within = Duration::from_nanos(self.connect_timeout.min(left));
         let mut opening: Opening = Box::pin(Connection::open(self.server.address, slot));
         let status = tokio::select! {
@@ -375,7 +378,7 @@
         if !self.server.takes_sends(now) {
             return Ok(Status::Moot.into());
         }
-        if self.request.over.is_cancelled() {
+        if self.request.over.is_cancelled() || now >= self.begin_by {
             return Ok(Ended { connection: Some(connection), ..Status::Moot.into() });
         }
         if let Some(upload) = self.request.upload() {
@@ -512,6 +515,7 @@
             server,
             request: Arc::new(request),
             started: clock.now(),
+            begin_by: NEVER,
             budget: Budget(Slots::new(64)),
             patience: 5_000_000_000,
             deadline: clock.now() + 5_000_000_000,
