--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -418,3 +418,35 @@
     }
     drop(held);
 }
+
+/// Guards a restart whose signals cross: a second SIGTERM, or one in the middle of reading the configuration again,
+/// changes nothing of what the first has begun, and what was taken is answered whole.
+#[test]
+fn signals_that_cross_leave_what_was_taken_its_answer() {
+    for crossing in [["TERM", "TERM", "HUP"], ["HUP", "TERM", "TERM"], ["TERM", "HUP", "TERM"]] {
+        let (release, released) = mpsc::channel::<()>();
+        let released = Mutex::new(released);
+        let server = Server::start(move |request| {
+            if request.body == b"slow" {
+                released.lock().unwrap().recv_timeout(PATIENCE).unwrap();
+            }
+            ok()
+        });
+        let (_held, discovery) = Discovery::start(&[("s", server.address)]);
+        let (mut command, path) = program(&config(discovery.address, &[("s", server.address)]).to_string());
+        let (mut child, address) = start(&mut command);
+        let mut slow = Client::connect(address);
+        slow.write(&request("read", "X-Remaining-Ms: 4000\r\n", "slow"));
+        server.next_request();
+        crossing.iter().for_each(|name| signal(&child, name));
+        // What came before the signals were seen or after is served alike.
+        while Client::connect(address).ask("read").header("connection") != Some("close") {}
+        release.send(()).unwrap();
+        let answer = slow.read().expect("an answer");
+        assert_eq!((answer.status(), answer.body.as_slice()), (200, b"pong".as_slice()), "{crossing:?}");
+        assert_eq!(answer.header("connection"), Some("close"), "{crossing:?}");
+        drop(slow);
+        assert!(child.wait().unwrap().success(), "{crossing:?}");
+        std::fs::remove_file(path).unwrap();
+    }
+}
