Hold every end of an attempt against what its class allows, in one table

Need: for each outcome, class effect, window and number of attempts, whether a repeat or which answer may follow.

--- a/crates/decide/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -65,6 +65,55 @@
     }
 }
 
+/// The one table of what ends an attempt may have: whether it goes out again, and the answer where it may not.
+#[test]
+fn every_end_of_an_attempt_lets_just_what_its_class_allows_follow() {
+    let ends = [
+        (Status::Full, false),
+        (Status::ConnectFailed, false),
+        (Status::Moot, false),
+        (Status::Error, true),
+        (Status::Reset, true),
+        (Status::Timeout, true),
+        (Status::Cancelled, true),
+    ];
+    let effects = [
+        Effect::Safe,
+        keyed(Group::All),
+        keyed(Group::Zone),
+        keyed(Group::Cell),
+        Effect::Keyed { group: Group::All, window: 0 },
+        Effect::Unsafe,
+    ];
+    for effect in effects {
+        for (status, may_have_run) in ends {
+            for (attempts, after) in [(4, MS), (4, 350 * MS), (1, MS)] {
+                let mut node = Node::new(
+                    Settings { max_attempts: attempts, ..settings(vec![class(effect)]) },
+                    // Alone in no cell and no zone, so that wherever it may go there is somewhere to go.
+                    24,
+                    3,
+                );
+                let (id, actions) = node.ask(0, S);
+                let server = sent(&actions).expect("sent");
+                node.at += after;
+                let end = node.end(id, 0, server, status, after);
+                let window = match effect {
+                    Effect::Keyed { window, .. } => after < window,
+                    Effect::Safe => true,
+                    Effect::Unsafe => false,
+                };
+                let again = attempts > 1 && (!may_have_run || window);
+                let harmless = matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
+                let refuses = !again && (!may_have_run || harmless);
+                let seen = (sent(&end).is_some(), refused(&end), failed(&end));
+                let wanted = (again, refuses, !again && !refuses);
+                assert_eq!(seen, wanted, "{effect:?} {status:?} after {after} ns, {attempts} attempts");
+            }
+        }
+    }
+}
+
 #[test]
 fn a_keyed_request_stays_in_its_group() {
     for group in [Group::All, Group::Zone, Group::Cell] {
