Split front, driver and upstream into folders of small modules, without a change of behaviour

Need: one idea a file. front: door, tally, pulse, under_way, answer; driver: open, requests, lists, orders, tally; upstream: server, outgoing, connection, pool, report; the inline tests of these, lifecycle and line moved to crates/node/tests/unit. The lines before and after are the same but for visibility, imports and formatting, compared as sorted lines.

--- /dev/null
+++ b/crates/node/src/driver/lists.rs
@@ -0,0 +1,57 @@
+//! The server list on its way to the module.
+
+use super::*;
+
+impl Driver {
+    pub(super) fn list(&mut self, kind: ListKind, list: List) {
+        let now = self.clock.now();
+        let entries: Vec<ServerEntry> = list.endpoints.iter().map(|line| self.entry(line)).collect();
+        if kind != ListKind::Partial {
+            self.members.fill(false);
+        }
+        self.members.resize(self.servers.len(), false);
+        entries.iter().for_each(|e| self.members[e.id.0 as usize] = e.readiness != Readiness::Gone);
+        self.listed |= kind != ListKind::Persisted || !entries.is_empty();
+        debug!(?kind, lines = entries.len(), "list");
+        let told: Vec<ServerId> = match kind {
+            ListKind::Partial => entries.iter().map(|entry| entry.id).collect(),
+            _ => (0..self.servers.len() as u32).map(ServerId).collect(),
+        };
+        self.handle(Event::Servers { kind, entries });
+        told.into_iter().for_each(|id| self.mark(id, now));
+    }
+
+    /// Lets a server's connections know whether the module would send there: what was picked before and is not
+    /// yet written must not go out long after that has ended.
+    pub(super) fn mark(&mut self, id: ServerId, now: Nanos) {
+        let ready = self.balancer.is_ready(id);
+        self.servers[id.0 as usize].set_ready(ready, now, self.limits.drain_grace);
+        if !ready {
+            self.pool.close(id);
+        }
+    }
+
+    pub(super) fn entry(&mut self, line: &Endpoint) -> ServerEntry {
+        let entry = self.names.server_entry(Listed {
+            name: &line.name,
+            zone: line.zone.as_deref(),
+            kind: line.kind.as_deref(),
+            cell: line.group,
+            readiness: line.status.into(),
+            weight: line.weight,
+            since: line.since_ms.saturating_mul(1_000_000), // the module's clock is Unix time
+        });
+        match self.servers.get_mut(entry.id.0 as usize) {
+            None => {
+                self.servers.push(Arc::new(Server::new(line.address)));
+                self.maintain(entry.id); // it may have been ordered before the list had it
+            }
+            Some(server) if server.address != line.address => {
+                *server = Arc::new(Server::new(line.address));
+                self.pool.close(entry.id);
+            }
+            Some(_) => {}
+        }
+        entry
+    }
+}
--- /dev/null
+++ b/crates/node/src/driver/tally.rs
@@ -0,0 +1,62 @@
+//! What became of attempts, for the log.
+
+use super::*;
+
+/// What became of attempts since the last log line, and the counts of requests as of then.
+#[derive(Default)]
+pub(super) struct Tally {
+    pub(super) requests: Totals,
+    pub(super) sent: u64,
+    pub(super) endings: [u64; 8],           // of attempts, by status
+    pub(super) slowest: Nanos,              // answer of a server
+    pub(super) bad: HashMap<ServerId, u64>, // attempts that failed, by server
+}
+
+/// Long bodies that are on their way.
+#[derive(Default)]
+pub(super) struct Passing {
+    pub(super) up: usize,
+    pub(super) down: usize,
+}
+
+impl Tally {
+    pub(super) fn ended(&mut self, server: ServerId, status: Status, latency: Nanos) {
+        self.endings[status as usize] += 1;
+        match status {
+            Status::Ok => self.slowest = self.slowest.max(latency),
+            Status::Cancelled | Status::Moot => {}
+            _ => *self.bad.entry(server).or_default() += 1,
+        }
+    }
+
+    /// Writes a line if anything went other than well, and starts anew.
+    pub(super) fn report(&mut self, names: &Names, ready: usize, totals: Totals) {
+        let anew = Tally { requests: totals, ..Tally::default() };
+        let Tally { requests, sent, endings, slowest, bad } = std::mem::replace(self, anew);
+        let since = totals.since(&requests);
+        let (requests, served, refused) = (since.taken, since.of(End::Completed), since.of(End::Rejected));
+        let (failed, left) = (since.of(End::Failed), since.of(End::Left));
+        if refused + failed + left + bad.len() as u64 == 0 {
+            return;
+        }
+        let of = |status: Status| endings[status as usize];
+        let worst = bad.iter().max_by_key(|(id, &count)| (count, Reverse(**id)));
+        let worst = worst.map(|(id, count)| format!("{}:{count}", names.servers.name(id.0 as usize)));
+        info!(requests, served, refused, failed, left, ready, "answers");
+        info!(
+            sent,
+            ok = of(Status::Ok),
+            slowest_ms = slowest / 1_000_000,
+            error = of(Status::Error),
+            full = of(Status::Full),
+            timeout = of(Status::Timeout),
+            unconnected = of(Status::ConnectFailed),
+            reset = of(Status::Reset),
+            cancelled = of(Status::Cancelled),
+            moot = of(Status::Moot),
+            bad_servers = bad.len(),
+            worst = worst.unwrap_or_default(),
+            "attempts"
+        );
+    }
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front/mod.rs
@@ -39,6 +39,19 @@
 use merlinfold_decide::interface::{Nanos, RequestId, Settings};
 use merlinfold_settings::{Names, Numbering};
 
+mod answer;
+mod door;
+mod pulse;
+mod tally;
+mod under_way;
+
+use answer::*;
+pub use door::Door;
+use door::BACKLOG;
+use pulse::Pulse;
+use tally::{count, Tally};
+use under_way::{UnderWay, Waiting};
+
 /// For the first byte on a connection that comes to a node which takes no new ones: nothing may stay open there.
 const IDLE_LEAVING: Nanos = 500_000_000;
 /// From a head on, for a body's next bytes: clients send in pieces, with seconds between them.
@@ -51,44 +64,15 @@
 /// the connection, and with it the end of an answer that the client has not read yet.
 const LINGER: Duration = Duration::from_secs(1);
 const LINGER_FULL: Duration = Duration::from_millis(100); // the same while others wait for the slot
-/// Between looks at a client that has sent more than its request: hyper does not read on then, and would not see it
-/// leave. An attempt must not begin 100 ms after that.
-const LOOK: Duration = Duration::from_millis(40);
 const REST: Duration = Duration::from_millis(20); // between looks whether a request that has begun to come is there
 const HEAD_MOST: usize = 16 << 10; // bytes buffered of a request: all slots together must fit in memory
 const SPARE: usize = 32; // connections short of the most at which they are closed after their answer
-const BACKLOG: u32 = 1024; // connections that the kernel holds until they are accepted
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10); // after a failed accept, so as not to spin
 const SETTLE: Duration = Duration::from_millis(20); // until a connection is sure to have been looked at
 
 const REPORT_EVERY: Duration = Duration::from_secs(5); // between log lines on the clients' connections
 
 const PULSE: Duration = Duration::from_millis(10); // between the beats that show a hold-up
-const HELD_UP: Nanos = 25_000_000; // between two beats: well over what timers and a full turn take
-const TURN: Nanos = 2_000_000; // after a hold-up, in which what it kept waiting is found
-
-/// Where clients come in.
-pub enum Door {
-    /// They may come at once.
-    Open(TcpListener),
-    /// Bound only: until it listens the kernel brings clients to another process on the address.
-    Shut(TcpSocket),
-}
-
-impl Door {
-    /// Listens now if clients may come.
-    pub fn new(socket: TcpSocket, opens: bool) -> io::Result<Self> {
-        Ok(if opens { Door::Open(socket.listen(BACKLOG)?) } else { Door::Shut(socket) })
-    }
-
-    /// Where that is.
-    pub fn address(&self) -> io::Result<SocketAddr> {
-        match self {
-            Door::Open(listener) => listener.local_addr(),
-            Door::Shut(socket) => socket.local_addr(),
-        }
-    }
-}
 
 /// What the tasks of all client connections share.
 pub struct Front {
@@ -104,35 +88,6 @@
     tally: Tally,
 }
 
-/// What became of connections since the last log line; shows an operator peers that send no proper request.
-#[derive(Default)]
-struct Tally {
-    accepted: AtomicU64,
-    silent: AtomicU64,    // closed because no whole head came in time
-    malformed: AtomicU64, // closed because what came was not HTTP or not whole
-    rejected: AtomicU64,  // closed after a request that was not proper and was answered with an error
-    still: AtomicU64,     // closed because no byte moved for long, in the middle of a message
-    full: AtomicU64,      // times that a client had to wait for room
-}
-
-impl Tally {
-    /// Writes a line if there is something in it that an operator should look at.
-    fn report(&self, held: usize, most: usize) {
-        let take = |count: &AtomicU64| count.swap(0, Ordering::Relaxed);
-        let accepted = take(&self.accepted);
-        let (silent, malformed) = (take(&self.silent), take(&self.malformed));
-        let (rejected, still, full) = (take(&self.rejected), take(&self.still), take(&self.full));
-        if silent + malformed + rejected + still + full > 0 {
-            info!(held, most, accepted, silent, malformed, rejected, still, full, "clients");
-        }
-    }
-}
-
-/// Adds one to a count.
-fn count(counter: &AtomicU64) {
-    counter.fetch_add(1, Ordering::Relaxed);
-}
-
 impl Front {
     pub fn new(
         settings: &Settings, names: &Names, clock: Clock, inputs: UnboundedSender<Input>, room: Room,
@@ -446,249 +401,6 @@
     }
 }
 
-/// A request from its head to the end of its answer.
-struct UnderWay {
-    line: Arc<Line>,
-    origin: Instant,
-    peer: Option<Arc<TcpStream>>,
-}
-
-impl UnderWay {
-    /// Waits until the client has left behind more bytes than its request; without such hyper sees it itself.
-    async fn left(&self) {
-        let Some(peer) = &self.peer else { return pending().await };
-        loop {
-            sleep(LOOK).await;
-            if has_left(peer).await {
-                return;
-            }
-        }
-    }
-}
-
-/// Whether the other side has ended its writing, as the kernel tells it beside what is still to be read.
-async fn has_left(peer: &TcpStream) -> bool {
-    tokio::select! {
-        biased;
-        ready = peer.ready(Interest::READABLE) => ready.is_ok_and(|ready| ready.is_read_closed()),
-        () = std::future::ready(()) => false,
-    }
-}
-
-impl Drop for UnderWay {
-    fn drop(&mut self) {
-        self.line.free(self.origin.elapsed().as_nanos() as Nanos);
-    }
-}
-
-/// An answer's body, while which its request is under way.
-struct Lasting {
-    body: Outgo,
-    _under_way: UnderWay,
-}
-
-impl Body for Lasting {
-    type Data = Bytes;
-    type Error = hyper::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>, cx: &mut Context,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        match &mut self.body {
-            Outgo::Held { body, .. } => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            Outgo::Long(relay) => Pin::new(relay).poll_frame(cx),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match &self.body {
-            Outgo::Held { body, .. } => body.is_end_stream(),
-            Outgo::Long(relay) => relay.is_end_stream(),
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match &self.body {
-            Outgo::Held { body, .. } => body.size_hint(),
-            Outgo::Long(relay) => relay.size_hint(),
-        }
-    }
-}
-
-/// What is in it.
-enum Outgo {
-    Held { body: Full<Bytes>, _held: Held },
-    Long(Box<Relay>),
-}
-
-impl Outgo {
-    fn nothing() -> Self {
-        Outgo::from(Held::small(Bytes::new()))
-    }
-}
-
-impl From<Held> for Outgo {
-    fn from(held: Held) -> Self {
-        Outgo::Held { body: Full::new(held.bytes.clone()), _held: held }
-    }
-}
-
-/// Notices that the node was held up: what it finds then may have come at any time since.
-struct Pulse {
-    beat: AtomicU64,
-    away_from: AtomicU64,
-    back_at: AtomicU64,
-}
-
-impl Pulse {
-    fn new(now: Nanos) -> Self {
-        Pulse { beat: AtomicU64::new(now), away_from: AtomicU64::new(0), back_at: AtomicU64::new(0) }
-    }
-
-    fn beat(&self, now: Nanos) {
-        let last = self.beat.swap(now, Ordering::Relaxed);
-        if now - last > HELD_UP {
-            self.away_from.store(last, Ordering::Relaxed);
-            self.back_at.store(now, Ordering::Relaxed);
-        }
-    }
-
-    /// When a request that is read now came in, at the earliest.
-    fn arrival(&self, now: Nanos) -> Nanos {
-        let last = self.beat.load(Ordering::Relaxed);
-        if now - last > HELD_UP {
-            return last;
-        }
-        let just_back = now - self.back_at.load(Ordering::Relaxed) < TURN;
-        if just_back {
-            self.away_from.load(Ordering::Relaxed)
-        } else {
-            now
-        }
-    }
-}
-
-/// Tells the driver when hyper gives a request up because its client has left.
-struct Waiting<'a> {
-    inputs: &'a UnboundedSender<Input>,
-    id: RequestId,
-    over: &'a CancellationToken,
-    answered: bool,
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        if !self.answered {
-            self.over.cancel(); // at once: the driver may have much to do before it comes to this
-            let _ = self.inputs.send(Input::Gone(self.id));
-        }
-    }
-}
-
-fn response(reply: Reply, asks_head: bool) -> Response<Outgo> {
-    let mut response = Response::new(Outgo::nothing());
-    match reply {
-        Reply::Served(answer) => {
-            *response.body_mut() = match answer.body {
-                AnswerBody::Held(held) => held.into(),
-                AnswerBody::Long(relay) => Outgo::Long(relay),
-            };
-            if let Some(length) = answer.length.filter(|_| asks_head) {
-                response.headers_mut().insert(CONTENT_LENGTH, length);
-            }
-            answer.content_type.map(|kind| response.headers_mut().insert(CONTENT_TYPE, kind));
-        }
-        Reply::Refused { retry_after } => {
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            if retry_after > 0 {
-                let seconds = format!("{:.3}", retry_after as f64 / 1e9);
-                let seconds = HeaderValue::try_from(seconds).expect("a number is plain");
-                response.headers_mut().insert(RETRY_AFTER, seconds);
-            }
-        }
-        Reply::Failed => *response.status_mut() = StatusCode::BAD_GATEWAY,
-        Reply::Stalled => *response.status_mut() = StatusCode::REQUEST_TIMEOUT,
-    }
-    response
-}
-
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::lifecycle::Life;
-    use merlinfold_decide::interface::{Class, Effect, Placement};
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-
-    /// What a peer gets that sends this and then nothing more, and after which time the connection ends.
-    async fn sent(text: &str) -> (String, Duration) {
-        let (inputs, _held) = tokio::sync::mpsc::unbounded_channel();
-        let mut names = Names::default();
-        names.classes.number("read");
-        let class = Class {
-            aim: 4_000_000_000,
-            deadline: 5_000_000_000,
-            worth: 1.0,
-            late_worth: 0.0,
-            effect: Effect::Safe,
-            placement: Placement::default(),
-        };
-        let settings = Settings { classes: vec![class], ..Settings::default() };
-        let (_posture, posture) = watch::channel(Life::new(5_000_000_000).posture());
-        let front = Arc::new(Front::new(
-            &settings,
-            &names,
-            Clock::new(),
-            inputs,
-            Room::new(256, 1 << 20, false),
-            posture,
-        ));
-        let (_close, closing) = watch::channel(false);
-        let slot = front.room.clients.take().await;
-        let (mut peer, stream) = tokio::io::duplex(1 << 20);
-        let begun = Instant::now();
-        let serving = front.clone();
-        let connection = tokio::spawn(async move {
-            serving.connection(stream, None, closing).await;
-            drop(slot);
-        });
-        peer.write_all(text.as_bytes()).await.unwrap();
-        let mut answer = String::new();
-        let _ = peer.read_to_string(&mut answer).await;
-        connection.await.unwrap();
-        assert_eq!(front.room.clients.held(), 0, "the slot is free again");
-        (answer, begun.elapsed())
-    }
-
-    /// Guards clients' slots: a peer that sends no proper request holds one for less than 3 s.
-    #[tokio::test(start_paused = true)]
-    async fn who_sends_no_proper_request_gets_an_error_or_a_close_within_3_s() {
-        let head = "POST /read HTTP/1.1\r\nHost: x\r\nX-Txn: 9b1f03aa5c7e2d41\r\n";
-        let cases = [
-            (String::new(), ""),
-            ("POST /re".to_owned(), ""),
-            (head.to_owned(), ""),
-            (format!("{head}Content-Length: 5\r\n\r\npin"), "HTTP/1.1 408"),
-            ("GET /read HTTP/1.1\r\nHost: x\r\n\r\n".to_owned(), "HTTP/1.1 400"),
-            ("GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n".to_owned(), "HTTP/1.1 404"),
-            (format!("{head}X-Fill: {}", "x".repeat(2 * HEAD_MOST)), "HTTP/1.1 431"),
-        ];
-        for (text, answer) in cases {
-            let (got, after) = sent(&text).await;
-            let shown = &text[..text.len().min(100)];
-            assert!(after < Duration::from_secs(3), "{shown:?} held its slot for {after:?}");
-            assert!(got.starts_with(answer), "{shown:?} got {got:?}");
-        }
-    }
-
-    #[test]
-    fn only_what_a_hold_up_kept_waiting_counts_from_its_beginning() {
-        let ms = |n: u64| n * 1_000_000;
-        let pulse = Pulse::new(ms(1_000));
-        pulse.beat(ms(1_010));
-        assert_eq!(pulse.arrival(ms(1_015)), ms(1_015));
-        assert_eq!(pulse.arrival(ms(1_200)), ms(1_010), "found before the next beat");
-        pulse.beat(ms(1_200));
-        assert_eq!(pulse.arrival(ms(1_201)), ms(1_010), "found after it");
-        assert_eq!(pulse.arrival(ms(1_205)), ms(1_205), "the hold-up is over");
-    }
-}
+#[path = "../../tests/unit/front.rs"]
+mod tests;
--- /dev/null
+++ b/crates/node/src/upstream/report.rs
@@ -0,0 +1,15 @@
+//! A server's own account of its load.
+
+use super::*;
+
+/// `TEXT name=value, name=value`; what is anything else is no report.
+pub(super) fn load_report(value: &HeaderValue) -> Option<LoadReport> {
+    let figures = value.to_str().ok()?.trim().strip_prefix("TEXT ")?;
+    let mut report = LoadReport::default();
+    for (name, value) in figures.split(',').filter_map(|pair| pair.split_once('=')) {
+        if let Some(value) = value.trim().parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0) {
+            set_figure(&mut report, name.trim(), value);
+        }
+    }
+    Some(report)
+}
--- /dev/null
+++ b/crates/node/tests/unit/driver.rs
@@ -0,0 +1,79 @@
+use super::*;
+use crate::body::Held;
+use crate::upstream::Payload;
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Uri};
+use merlinfold_settings::Env;
+use serde_json::{from_value, json};
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+fn driver() -> (Driver, UnboundedReceiver<Input>) {
+    let env: Env = from_value(json!({
+        "Categories": [{"Name": "read", "Aim": 4_000_000_000u64, "GiveUp": 5_000_000_000u64}],
+        "Limits": {"ConnIdle": 30_000_000_000u64, "ConnectTimeout": 1_000_000_000, "MaxAttempts": 1}
+    }))
+    .unwrap();
+    let (mut names, clock, limits) = (Names::default(), Clock::new(), env.host_limits().unwrap());
+    let balancer = Balancer::new(env.settings(&mut names).unwrap(), 1);
+    let (sender, inputs) = mpsc::unbounded_channel();
+    let room = Room::new(256, 32 << 20, false);
+    (Driver::new(balancer, names, clock, limits, room, sender, Arc::new(Notify::new())), inputs)
+}
+
+fn list(name: &str, address: SocketAddr, since_ms: u64) -> List {
+    let line = json!({"name": name, "address": address, "status": "in_service", "since_ms": since_ms});
+    from_value(json!({"index": 1, "snapshot": true, "endpoints": [line]})).unwrap()
+}
+
+/// Guards cold servers: when one started is told in Unix time, and the module's clock is the same.
+#[test]
+fn a_start_is_told_on_the_module_s_clock_and_0_stays_long_ago() {
+    let (mut driver, _inputs) = driver();
+    let at = "127.0.0.1:1".parse().unwrap();
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+    let since = driver.entry(&list("s", at, unix - 2_000).endpoints[0]).since;
+    let age = driver.clock.now() - since;
+    assert!((1_999_000_000..60_000_000_000).contains(&age), "{age} ns old instead of 2 s");
+    assert_eq!(driver.entry(&list("s", at, 0).endpoints[0]).since, 0);
+}
+
+/// Guards drains: a request is decided on with the list that came in with it, though read before it.
+#[tokio::test]
+async fn news_goes_in_before_the_requests_that_came_with_it() {
+    let (old, new) =
+        (TcpListener::bind("127.0.0.1:0").await.unwrap(), TcpListener::bind("127.0.0.1:0").await.unwrap());
+    let (mut driver, inputs) = driver();
+    driver.known(list("old", old.local_addr().unwrap(), 0), false);
+    let outgoing = Outgoing::new(
+        Method::GET,
+        Uri::from_static("/"),
+        HeaderMap::new(),
+        Payload::Held(Held::small(Bytes::new())),
+    );
+    let (client, _reply) = oneshot::channel();
+    let expires = driver.clock.now() + 5_000_000_000;
+    let request = Arrival {
+        id: RequestId(1),
+        class: 0,
+        tenant: None,
+        key: None,
+        cost_hint: None,
+        repeat: false,
+        expires,
+        outgoing: Arc::new(outgoing),
+        client,
+    };
+    let sender = driver.sender();
+    assert!(sender.send(Input::Request(request)).is_ok());
+    assert!(sender.send(Input::List(list("new", new.local_addr().unwrap(), 0))).is_ok());
+    let running = tokio::spawn(driver.run(inputs));
+    tokio::select! {
+        _ = new.accept() => {}
+        _ = old.accept() => panic!("it went to the server that the list no longer has"),
+        () = tokio::time::sleep(Duration::from_secs(10)) => panic!("it went nowhere"),
+    }
+    running.abort();
+}
