--- a/crates/decide/src/policy/mod.rs
+++ b/crates/decide/src/policy/mod.rs
@@ -7,10 +7,10 @@
 
 mod admission;
 mod attempts;
-mod cold;
 mod learning;
 mod listed;
 mod pick;
+mod slow_start;
 mod state;
 mod tuning;
 mod worth;
--- a/crates/decide/src/policy/cold.rs
+++ b/crates/decide/src/policy/slow_start.rs
@@ -1,4 +1,4 @@
-//! What a server that has just started bears.
+//! Slow start: what a server that has just started bears of all nodes together.
 
 use super::*;
 
