--- a/crates/decide/tests/cold.rs
+++ b/crates/decide/tests/cold.rs
@@ -75,7 +75,7 @@
     }
 
     fn is_cold(&self, server: u32) -> bool {
-        server % 3 == 0 && (server / 3).is_multiple_of(self.cold_one_in)
+        server.is_multiple_of(3) && (server / 3).is_multiple_of(self.cold_one_in)
     }
 
     fn warmth(&self, age: Nanos) -> f64 {
@@ -100,8 +100,8 @@
         let mut open = BTreeMap::<(usize, u64), (usize, u32)>::new(); // class, attempts so far
         let per_s = self.load * f64::from(self.servers) * 1e9 / self.mean_work();
         let part = |node: usize| {
-            let heavy = node % 10 == 0;
-            let all: f64 = (0..self.nodes).map(|n| if n % 10 == 0 { self.skew } else { 1.0 }).sum();
+            let heavy = node.is_multiple_of(10);
+            let all: f64 = (0..self.nodes).map(|n| if n.is_multiple_of(10) { self.skew } else { 1.0 }).sum();
             per_s * if heavy { self.skew } else { 1.0 } / all
         };
         let gap = |rng: &mut fastrand::Rng, node| (-(1.0 - rng.f64()).ln() / part(node) * 1e9) as Nanos;
