--- a/crates/decide/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -88,12 +88,9 @@
     for effect in effects {
         for (status, may_have_run) in ends {
             for (attempts, after) in [(4, MS), (4, 350 * MS), (1, MS)] {
-                let mut node = Node::new(
-                    Settings { max_attempts: attempts, ..settings(vec![class(effect)]) },
-                    // Alone in no cell and no zone, so that wherever it may go there is somewhere to go.
-                    24,
-                    3,
-                );
+                // No server is alone in its cell or zone: where a repeat is allowed there is somewhere to go.
+                let set = Settings { max_attempts: attempts, ..settings(vec![class(effect)]) };
+                let mut node = Node::new(set, 24, 3);
                 let (id, actions) = node.ask(0, S);
                 let server = sent(&actions).expect("sent");
                 node.at += after;
