Spread first questions to discovery from the start, not from half of their span

Cause: nodes that start together all asked between a half and the whole of an eighth of the time for asking (0.63 to 1.25 s): a service that answers in turn stood idle for the first 0.6 s of a time that its queue does not make up. Change: the first question comes anywhere in that span. No test holds the moment itself; the fleet's model bounds it.

--- a/crates/decide/src/policy/mod.rs
+++ b/crates/decide/src/policy/mod.rs
@@ -96,7 +96,8 @@
             self.started = true;
             out.push(Action::Timer { after: TICK, token: 0 });
             if self.set.discovery == Discovery::Ask {
-                self.ask_at = now.saturating_add(self.jitter((self.set.ask_within / 8).min(ASK_MOST)));
+                let first = self.rng.u64(0..=(self.set.ask_within / 8).min(ASK_MOST));
+                self.ask_at = now.saturating_add(first);
             }
         }
         self.awake(now);
