--- a/crates/node/tests/unit/discovery_fleet.rs
+++ b/crates/node/tests/unit/discovery_fleet.rs
@@ -15,6 +15,7 @@
 const SERVICE_TIMEOUT_MS: Millis = 3_000;
 const WATCH_GAP: Millis = 200; // a watch goes on if the next call comes within this time of the answer
 const ROUND_TRIP: Millis = 2;
+const LISTENED_TO: Millis = 3_000; // after a call was given up
 
 /// The service: each call that begins something costs it the same time; a watch that goes on costs nothing.
 struct Service {
@@ -123,11 +124,21 @@
     End,
 }
 
+/// The answer to a call that was given up, as long as it is listened to.
+#[derive(Clone, Copy)]
+struct LateAnswer {
+    at: Millis,
+    number: usize,
+    version: u64,
+}
+
 struct Fleet {
     nodes: Vec<Node>,
     service: Service,
     due: BinaryHeap<Reverse<(Millis, usize, Step)>>,
     answers: Vec<Option<Answer>>, // of the call that is out; none: it takes all its time
+    late: Vec<LateAnswer>,
+    silent_at: Millis, // the watches that are open then are never answered
 }
 
 impl Fleet {
@@ -135,7 +146,7 @@
         let node = |number: usize| Node::new(count as u32, seed ^ number as u64, known, 1);
         let nodes: Vec<Node> = (0..count).map(node).collect();
         let due = (0..count).map(|number| Reverse((1, number, Step::Tick))).collect();
-        Fleet { nodes, service, due, answers: vec![None; count] }
+        Fleet { nodes, service, due, answers: vec![None; count], late: Vec::new(), silent_at: Millis::MAX }
     }
 
     fn call(&mut self, now: Millis, number: usize) {
@@ -145,6 +156,11 @@
         node.watched_at = None;
         let (at, answer) = self.service.call(now, call.query, goes_on);
         let gives_up = now + call.within.as_millis() as Millis;
+        let at = if now <= self.silent_at && at > self.silent_at { Millis::MAX } else { at };
+        let is_late = at > gives_up && at <= gives_up + LISTENED_TO;
+        if let (Answer::List { version, .. }, true) = (answer, is_late) {
+            self.late.push(LateAnswer { at, number, version });
+        }
         self.answers[number] = (at <= gives_up).then_some(answer);
         self.due.push(Reverse((at.min(gives_up), number, Step::End)));
     }
@@ -178,12 +194,24 @@
         }
     }
 
+    fn hear_late(&mut self, now: Millis) {
+        let heard: Vec<LateAnswer> = self.late.extract_if(.., |late| late.at <= now).collect();
+        for LateAnswer { at, number, version } in heard {
+            let node = &mut self.nodes[number];
+            if node.course.late(version) {
+                node.hears(at, version);
+                node.told(at, ListKind::Partial);
+            }
+        }
+    }
+
     fn run(&mut self, until: Millis) {
         while let Some(&Reverse((now, number, step))) = self.due.peek() {
             if now > until {
                 return;
             }
             self.due.pop();
+            self.hear_late(now);
             match step {
                 Step::End => self.end(now, number),
                 Step::Tick if self.nodes[number].wants(now) => self.call(now, number),
@@ -230,6 +258,23 @@
         prop_assert!(heard.is_some_and(|at| at <= latest), "{heard:?} of {latest}, {count} of {per_call} ms");
     }
 
+    /// Guards drains: a change counts as told 6 s after the silence of a watch began. Where the service can answer the
+    /// whole fleet in 3.6 s every node has heard by then, although all watches fall silent in one moment; where it
+    /// cannot, no call is paid for much more often than once a node.
+    #[test]
+    fn a_fleet_whose_watches_fall_silent_hears_what_they_missed(
+        (count, per_call) in fleets(), seed in any::<u64>(), silent in 60_000..65_000u64
+    ) {
+        let mut fleet = Fleet::start(count, Service::new(per_call, vec![silent + 1]), seed, Some(0));
+        fleet.silent_at = silent;
+        fleet.run(120_000);
+        let heard = fleet.heard_by_all(1).map(|at| at - silent);
+        let latest = if count as Millis * per_call <= 3_600 { 6_000 } else { 60_000 };
+        prop_assert!(heard.is_some_and(|after| after <= latest), "{heard:?} ms, {count} of {per_call} ms");
+        let again = fleet.service.paid - count;
+        prop_assert!(again >= count && again <= count + count.div_ceil(2), "{again} calls of {count} nodes");
+    }
+
     /// Guards drains: once all have been answered, each change is heard by every node when it is there, and nothing is
     /// paid for any more.
     #[test]
