Split the membership state machine into a folder of modules by part of the protocol

Cause: one file of 1,057 lines held probing, suspicion, merging, anti-entropy, joining and all the rest. Change: `machine/` has a module for each, of 35 to 260 lines; functions are shorter, and private names are those of SWIM and Lifeguard (indirect probe, local health, broadcast queue for rumours). No public name and no behaviour changes.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -30,11 +30,11 @@
 //! assert_eq!(&*one.members(now)[1].name, "two");
 //! ```
 
+mod broadcast;
 mod config;
 mod machine;
 mod peer;
 mod record;
-mod rumours;
 mod saved;
 mod view;
 mod wire;
--- /dev/null
+++ b/crates/membership/src/machine/merging.rs
@@ -0,0 +1,134 @@
+//! Merging: what others tell of a member, and what this node finds out itself, against what it holds.
+
+use super::joining::Lifecycle;
+use super::{Action, Membership};
+use crate::config::{Nanos, MEMBERS_MOST};
+use crate::peer::{Peer, State};
+use crate::record::{Name, Profile, Record, Tale};
+use crate::view::Change;
+use crate::wire::{Fault, Window};
+
+/// Whether the record is about what is held: the same start with the same incarnation.
+fn is_same_claim(peer: &Peer, record: &Record) -> bool {
+    record.incarnation == peer.incarnation && record.run == peer.run
+}
+
+/// Whether an accusation by this record is heard.
+fn is_accusable(peer: &Peer, record: &Record, now: Nanos) -> bool {
+    let is_newer = record.incarnation > peer.incarnation;
+    (is_newer || is_same_claim(peer, record) && peer.is_live()) && !peer.is_calm(now)
+}
+
+impl Membership {
+    /// What this node says of itself.
+    pub(super) fn own_record(&self) -> Record {
+        let tale = match self.lifecycle {
+            Lifecycle::Active => Tale::Alive(self.me.profile.clone()),
+            _ => Tale::Left,
+        };
+        Record { name: self.me.name.clone(), incarnation: self.incarnation, run: self.me.run, tale }
+    }
+
+    /// Merges a record that `from` has told, or that this node has found out itself.
+    pub(super) fn merge(&mut self, now: Nanos, record: &Record, from: Option<&Name>, out: &mut Vec<Action>) {
+        if record.name == self.me.name {
+            return self.merge_own(record, out);
+        }
+        match &record.tale {
+            Tale::Alive(profile) => self.merge_alive(now, record, profile, out),
+            Tale::Suspect { by } => self.merge_suspect(now, record, by, out),
+            Tale::Dead => self.merge_dead(now, record, from, out),
+            Tale::Left => self.merge_left(now, record, out),
+        }
+    }
+
+    fn merge_alive(&mut self, now: Nanos, record: &Record, profile: &Profile, out: &mut Vec<Action>) {
+        let Some(peer) = self.peers.get_mut(&record.name) else {
+            return self.add_member(record, profile, out);
+        };
+        if record.weight() <= peer.weight() {
+            return;
+        }
+        let was = peer.state.name();
+        if record.run != peer.run {
+            peer.window = Window::default();
+            peer.heard = None;
+        }
+        (peer.incarnation, peer.run) = (record.incarnation, record.run);
+        peer.profile = profile.clone();
+        if peer.state == State::Alive {
+            self.digest_sums = None;
+            self.broadcasts.add(record);
+            return;
+        }
+        peer.state = State::Alive;
+        peer.refuted(now);
+        self.suspects.remove(&record.name);
+        self.announce(record, Some(was), "alive", out);
+    }
+
+    /// Takes a new member in, and probes it at a drawn place of this round.
+    fn add_member(&mut self, record: &Record, profile: &Profile, out: &mut Vec<Action>) {
+        if self.peers.len() + 1 >= MEMBERS_MOST {
+            self.count_fault(Fault::Full);
+            return;
+        }
+        let peer = Peer::new(profile.clone(), record.incarnation, record.run);
+        self.peers.insert(record.name.clone(), peer);
+        let place = self.rng.usize(0..=self.probe_round.len());
+        self.probe_round.insert(place, record.name.clone());
+        self.announce(record, None, "alive", out);
+    }
+
+    fn merge_suspect(&mut self, now: Nanos, record: &Record, by: &Name, out: &mut Vec<Action>) {
+        let Some(peer) = self.peers.get(&record.name) else { return };
+        if is_accusable(peer, record, now) {
+            self.accuse(now, record, by.clone(), out);
+        }
+    }
+
+    fn merge_dead(&mut self, now: Nanos, record: &Record, from: Option<&Name>, out: &mut Vec<Action>) {
+        let Some(peer) = self.peers.get_mut(&record.name) else { return };
+        if !is_accusable(peer, record, now) {
+            return;
+        }
+        let is_suspect = matches!(peer.state, State::Suspect { .. });
+        if !is_suspect || !is_same_claim(peer, record) {
+            // Not suspected here so far: it gets the time to refute.
+            if let Some(from) = from {
+                self.accuse(now, record, from.clone(), out);
+            }
+            return;
+        }
+        let was = peer.state.name();
+        peer.state = State::Dead { since: now, sure: self.majority };
+        self.suspects.remove(&record.name);
+        self.announce(record, Some(was), "dead", out);
+    }
+
+    fn merge_left(&mut self, now: Nanos, record: &Record, out: &mut Vec<Action>) {
+        let Some(peer) = self.peers.get_mut(&record.name) else { return };
+        let is_newer = record.incarnation > peer.incarnation;
+        let is_heard = is_newer || is_same_claim(peer, record);
+        if !is_heard || matches!(peer.state, State::Left { .. }) {
+            return;
+        }
+        let was = peer.state.name();
+        peer.incarnation = record.incarnation;
+        peer.run = record.run;
+        peer.state = State::Left { since: now };
+        self.suspects.remove(&record.name);
+        self.announce(record, Some(was), "left", out);
+    }
+
+    /// Tells others and the rest of the program that a member's state has changed.
+    pub(super) fn announce(
+        &mut self, record: &Record, was: Option<&'static str>, is: &'static str, out: &mut Vec<Action>,
+    ) {
+        self.invalidate_caches();
+        if !self.isolated || !matches!(record.tale, Tale::Dead) {
+            self.broadcasts.add(record);
+        }
+        out.push(Action::Changed(Change::Member { name: record.name.clone(), was, is }));
+    }
+}
