--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -1,7 +1,6 @@
 //! Bodies on their way through the node. Short ones are held, long ones pass through frame by frame: neither side
 //! is read faster than the other takes it.
 
-use std::collections::VecDeque;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
@@ -13,16 +12,12 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use merlinfold_decide::interface::{Nanos, RequestId};
-use tokio::sync::mpsc::UnboundedSender;
+use merlinfold_decide::interface::Nanos;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 use tokio::time::{sleep, timeout_at, Instant, Sleep};
 
 use crate::clock::Clock;
-use crate::figures::End;
-use crate::input::Input;
 use crate::room::{Slots, UNIT};
-use crate::upstream::Connection;
 
 /// Bytes of a body up to which it may be held, either way.
 pub const HELD_MOST: usize = 64 << 10;
@@ -280,87 +275,3 @@
         }
     }
 }
-
-/// A long answer on its way to a client. However it ends, the driver hears of it.
-pub struct Relay {
-    held: VecDeque<Bytes>,
-    share: Share,
-    rest: Incoming,
-    left: Option<u64>, // bytes that are still to go, where the length was told
-    connection: Option<Connection>,
-    report: Option<(UnboundedSender<Input>, RequestId)>,
-}
-
-impl std::fmt::Debug for Relay {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Relay").field("left", &self.left).finish_non_exhaustive()
-    }
-}
-
-impl Relay {
-    /// What was gathered of the answer, and the rest, with the connection on which it comes.
-    pub fn new(gathered: Gathered, rest: Incoming, connection: Connection) -> Self {
-        let left = rest.size_hint().exact().map(|rest| rest + gathered.held.len() as u64);
-        let Gathered { held, share, .. } = gathered;
-        let held = VecDeque::from_iter(Some(held).filter(|held| !held.is_empty()));
-        Relay { held, share, rest, left, connection: Some(connection), report: None }
-    }
-
-    /// Who is to hear how it ends.
-    pub fn report_to(&mut self, inputs: UnboundedSender<Input>, id: RequestId) {
-        self.report = Some((inputs, id));
-    }
-
-    fn end(&mut self, end: End) {
-        let connection = self.connection.take().filter(|_| end == End::Completed);
-        if let Some((inputs, id)) = self.report.take() {
-            let _ = inputs.send(Input::Relayed { id, end, connection });
-        }
-    }
-}
-
-impl Body for Relay {
-    type Data = Bytes;
-    type Error = hyper::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>, cx: &mut Context,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let data = match self.held.pop_front() {
-            Some(held) => held,
-            None => {
-                self.share = None;
-                match ready!(Pin::new(&mut self.rest).poll_frame(cx)) {
-                    None => {
-                        self.end(End::Completed);
-                        return Poll::Ready(None);
-                    }
-                    Some(Err(error)) => {
-                        self.end(End::Failed);
-                        return Poll::Ready(Some(Err(error)));
-                    }
-                    Some(Ok(frame)) => frame.into_data().unwrap_or_default(), // trailers are the hop's own
-                }
-            }
-        };
-        self.left = self.left.map(|left| left.saturating_sub(data.len() as u64));
-        if self.is_end_stream() {
-            self.end(End::Completed);
-        }
-        Poll::Ready(Some(Ok(Frame::data(data))))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.held.is_empty() && (self.left == Some(0) || self.rest.is_end_stream())
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.left.map_or_else(SizeHint::default, SizeHint::with_exact)
-    }
-}
-
-impl Drop for Relay {
-    fn drop(&mut self) {
-        self.end(End::Left); // nobody wants the rest; after an end it changes nothing
-    }
-}
--- a/crates/node/src/console/mod.rs
+++ b/crates/node/src/console/mod.rs
@@ -24,10 +24,9 @@
 use tracing::{info, warn};
 
 use crate::input::{Call, Input, Said};
+use crate::room::MAX_CONSOLE_CALLERS;
 use merlinfold_fleet::LogHandle;
 
-/// Callers at once. Beyond that a new one ends the one that came first, so those who sit there keep nobody out.
-pub const CALLERS_MOST: usize = 16;
 const CALL_TIMEOUT: Duration = Duration::from_secs(3); // for a whole call: callers wait 1 s
 const AGREED_TIMEOUT: Duration = Duration::from_secs(14); // for one that waits until something is agreed
 const BACKLOG: u32 = 64; // callers that the kernel holds until they are accepted
@@ -47,13 +46,14 @@
 pub async fn serve(listener: TcpListener, inputs: UnboundedSender<Input>, log: Option<LogHandle>) {
     let mut callers: VecDeque<AbortHandle> = VecDeque::new();
     let mut faults = Faults::default();
-    let (tell, mut told) = tokio::sync::mpsc::channel(CALLERS_MOST);
+    let (tell, mut told) = tokio::sync::mpsc::channel(MAX_CONSOLE_CALLERS);
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
                     callers.retain(|caller| !caller.is_finished());
-                    if callers.len() >= CALLERS_MOST {
+                    if callers.len() >= MAX_CONSOLE_CALLERS {
+                        // Those who sit there keep nobody out.
                         callers.pop_front().into_iter().for_each(|oldest| oldest.abort());
                     }
                     callers.push_back(tokio::spawn(caller(stream, inputs.clone(), log.clone(), tell.clone())).abort_handle());
--- a/crates/node/src/driver/requests.rs
+++ b/crates/node/src/driver/requests.rs
@@ -34,7 +34,10 @@
         let (server, sent) = (out.server, out.sent);
         if let Some(mut answer) = ended.answer {
             if let AnswerBody::Long(relay) = &mut answer.body {
-                relay.report_to(self.inputs.clone(), id);
+                let inputs = self.inputs.clone();
+                relay.on_end(move |end, connection| {
+                    let _ = inputs.send(Input::Relayed { id, end, connection });
+                });
             }
             open.end(Some(Reply::Served(answer)), &mut self.figures);
         } else if let Some(upload) = open.outgoing.upload().filter(|upload| upload.is_spent()) {
@@ -51,7 +54,10 @@
             self.keep(server, connection);
         }
         if let Some(opening) = ended.opening {
-            self.pool.await_late(server, opening, self.inputs.clone());
+            let inputs = self.inputs.clone();
+            self.pool.await_late(opening, move |connection| {
+                let _ = inputs.send(Input::Opened { server, connection }); // closed if nobody is left
+            });
         }
         let latency = self.clock.now() - ended.since.unwrap_or(sent).max(sent);
         self.tally.ended(server, ended.status, latency);
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -27,7 +27,7 @@
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
 
-use crate::body::{gather, Broken, Budget, Gathered, Held, Relay, Upload, Waited};
+use crate::body::{gather, Broken, Budget, Gathered, Held, Upload, Waited};
 use crate::clock::Clock;
 use crate::head::Asked;
 use crate::input::{Arrival, Input, Reply};
@@ -35,7 +35,7 @@
 use crate::line::{Line, Why};
 use crate::room::Room;
 use crate::stream::{Heard, Shared};
-use crate::upstream::{AnswerBody, Outgoing, Payload};
+use crate::upstream::{AnswerBody, Outgoing, Payload, Relay};
 use merlinfold_decide::interface::{Nanos, RequestId, Settings};
 use merlinfold_settings::{Names, Numbering};
 
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -17,16 +17,14 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::{yield_now, AbortHandle};
 use tokio::time::{sleep_until, timeout, timeout_at, Duration, Instant};
 use tokio_util::sync::CancellationToken;
 
-use crate::body::{gather, Budget, Held, Relay, Sending, Upload, Waited};
+use crate::body::{gather, Budget, Held, Sending, Upload, Waited};
 use crate::clock::Clock;
 use crate::figures::Written;
-use crate::input::Input;
 use crate::room::Slots;
 use crate::stream::Shared;
 use merlinfold_decide::interface::{LoadReport, Nanos, ServerId, Status};
@@ -35,6 +33,7 @@
 mod connection;
 mod outgoing;
 mod pool;
+mod relay;
 mod report;
 mod server;
 
@@ -42,6 +41,7 @@
 pub use connection::{Connection, Opening};
 pub use outgoing::{Outgoing, Payload};
 pub use pool::{Pool, Way};
+pub use relay::Relay;
 use report::load_report;
 pub use server::Server;
 
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -49,15 +49,15 @@
     }
 
     /// Lets a connection that nobody waits for any more come up for the next one, for a while: opening another costs
-    /// its server the same again.
-    pub fn await_late(&mut self, to: ServerId, opening: Opening, inputs: UnboundedSender<Input>) {
+    /// its server the same again. It is handed to `opened`, and closed where that drops it.
+    pub fn await_late(&mut self, opening: Opening, opened: impl FnOnce(Connection) + Send + 'static) {
         self.late.retain(|late| !late.0.is_finished());
         if self.slots.free() * LATE_PART < self.slots.most() {
             return;
         }
         let task = tokio::spawn(async move {
             if let Ok(Ok(connection)) = timeout(LATE_MOST, opening).await {
-                let _ = inputs.send(Input::Opened { server: to, connection }); // closed if nobody is left
+                opened(connection);
             }
         });
         self.late.push_back(AbortOnDrop(task.abort_handle()));
--- a/crates/node/tests/unit/upstream.rs
+++ b/crates/node/tests/unit/upstream.rs
@@ -58,16 +58,14 @@
         let ended = running.await.unwrap();
         assert_eq!(ended.status, if leaves { Status::Moot } else { Status::ConnectFailed });
         let (tell, mut told) = tokio::sync::mpsc::unbounded_channel();
-        pool.await_late(ServerId(0), ended.opening.expect("it goes on"), tell);
+        pool.await_late(ended.opening.expect("it goes on"), move |connection| drop(tell.send(connection)));
         listener.accept().await.unwrap(); // the filler: now there is room
         let accepted = listener.accept();
-        let Some(Input::Opened { server, connection }) = told.recv().await else {
-            panic!("it came to nothing")
-        };
+        let connection = told.recv().await.expect("it came to nothing");
         let (mut stream, _) = accepted.await.unwrap();
         assert_eq!(slots.held(), 1);
-        pool.put(server, connection);
-        let way = pool.way(server, address).expect("the one that came up");
+        pool.put(ServerId(0), connection);
+        let way = pool.way(ServerId(0), address).expect("the one that came up");
         assert!(matches!(way, Way::Open(_)));
         drop((way, pool));
         let read = tokio::io::AsyncReadExt::read(&mut stream, &mut [0; 1]).await.unwrap();
