Name the node's client listener, stall detector and limits by the terms of the field

Cause: `Door`, `Pulse` and `*_MOST` were words of our own. Change: `front/door.rs` is `listener.rs` (`ClientListener`), `pulse.rs` is `stall.rs` (`StallDetector`), and limits of the node that stand in one file are `MAX_*`, `MIN_*` or `DEFAULT_*`. Nothing that an operator reads changes.

--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -20,7 +20,7 @@
 use crate::room::{Slots, UNIT};
 
 /// Bytes of a body up to which it may be held, either way.
-pub const HELD_MOST: usize = 64 << 10;
+pub const MAX_HELD_BODY: usize = 64 << 10;
 const FREE: usize = 8 << 10; // bytes of a body that are held without asking: as many as a connection buffers
 const STALLED: Duration = Duration::from_secs(2); // without a byte of a body that its client owes
 
@@ -90,7 +90,7 @@
     let none = Gathered { held: Bytes::new(), share: None, whole: false };
     // Where the length is told room is taken once; a body beyond it passes on from its first bytes.
     let mut share = match told {
-        Some(length) if length > HELD_MOST as u64 => return Ok(none),
+        Some(length) if length > MAX_HELD_BODY as u64 => return Ok(none),
         Some(length) => match budget.room(length as usize) {
             Some(share) => share,
             None => return Ok(none),
@@ -114,12 +114,12 @@
         }
         held.extend_from_slice(&data);
         if told.is_none() && share.is_none() && held.len() > FREE {
-            match budget.room(HELD_MOST) {
+            match budget.room(MAX_HELD_BODY) {
                 Some(room) => share = room,
                 None => return Ok(Gathered { held: held.freeze(), share, whole: false }),
             }
         }
-        if held.len() > HELD_MOST {
+        if held.len() > MAX_HELD_BODY {
             return Ok(Gathered { held: held.freeze(), share, whole: false });
         }
     }
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -40,15 +40,15 @@
 use merlinfold_settings::{Names, Numbering};
 
 mod answer;
-mod door;
-mod pulse;
+mod listener;
+mod stall;
 mod tally;
 mod under_way;
 
 use answer::*;
-pub use door::Door;
-use door::BACKLOG;
-use pulse::Pulse;
+pub use listener::ClientListener;
+use listener::BACKLOG;
+use stall::StallDetector;
 use tally::{count, Tally};
 use under_way::{UnderWay, Waiting};
 
@@ -65,14 +65,14 @@
 const LINGER: Duration = Duration::from_secs(1);
 const LINGER_FULL: Duration = Duration::from_millis(100); // the same while others wait for the slot
 const REST: Duration = Duration::from_millis(20); // between looks whether a request that has begun to come is there
-const HEAD_MOST: usize = 16 << 10; // bytes buffered of a request: all slots together must fit in memory
+const MAX_HEAD: usize = 16 << 10; // bytes buffered of a request: all slots together must fit in memory
 const SPARE: usize = 32; // connections short of the most at which they are closed after their answer
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10); // after a failed accept, so as not to spin
 const SETTLE: Duration = Duration::from_millis(20); // until a connection is sure to have been looked at
 
 const REPORT_EVERY: Duration = Duration::from_secs(5); // between log lines on the clients' connections
 
-const PULSE: Duration = Duration::from_millis(10); // between the beats that show a hold-up
+const HEARTBEAT_EVERY: Duration = Duration::from_millis(10);
 
 /// What the tasks of all client connections share.
 pub struct Front {
@@ -84,7 +84,7 @@
     clock: Clock,
     inputs: UnboundedSender<Input>,
     next: AtomicU64,
-    pulse: Pulse,
+    stalls: StallDetector,
     tally: Tally,
 }
 
@@ -102,20 +102,20 @@
             clock,
             inputs,
             next: AtomicU64::new(0),
-            pulse: Pulse::new(clock.now()),
+            stalls: StallDetector::new(clock.now()),
             tally: Tally::default(),
         }
     }
 
     /// Accepts for as long as the posture says, and returns when all connections have ended.
-    pub async fn serve(self: Arc<Self>, door: Door) {
+    pub async fn serve(self: Arc<Self>, listener: ClientListener) {
         let (close, closing) = watch::channel(false);
         let front = self.clone();
         tokio::spawn(async move {
             let mut reported = Instant::now();
             loop {
-                sleep(PULSE).await;
-                front.pulse.beat(front.clock.now());
+                sleep(HEARTBEAT_EVERY).await;
+                front.stalls.heartbeat(front.clock.now());
                 if reported.elapsed() >= REPORT_EVERY {
                     reported = Instant::now();
                     front.tally.report(front.room.clients.held(), front.room.clients.most());
@@ -123,9 +123,9 @@
             }
         });
         let mut posture = self.posture.clone();
-        let listener = match door {
-            Door::Open(listener) => Ok(listener),
-            Door::Shut(socket) => {
+        let listener = match listener {
+            ClientListener::Listening(listener) => Ok(listener),
+            ClientListener::Bound(socket) => {
                 let _ = posture.wait_for(|posture| posture.opens || !posture.accepts).await;
                 socket.listen(BACKLOG)
             }
@@ -248,7 +248,7 @@
             .timer(TokioTimer::new())
             .keep_alive(keeps)
             .header_read_timeout(None)
-            .max_buf_size(HEAD_MOST)
+            .max_buf_size(MAX_HEAD)
             .serve_connection(TokioIo::new(Heard::new(stream, line.clone(), origin)), service);
         tokio::pin!(connection);
         tokio::select! {
@@ -320,7 +320,7 @@
         &self, request: Request<Incoming>, under_way: &UnderWay, first: Option<Instant>,
     ) -> Result<Response<Outgo>, StatusCode> {
         let line = &*under_way.line;
-        let arrived = self.pulse.arrival(self.clock.now());
+        let arrived = self.stalls.arrival(self.clock.now());
         let (head, mut body) = request.into_parts();
         if head.uri.path() == "/health/ready" && matches!(head.method, Method::GET | Method::HEAD) {
             let mut response = Response::new(Outgo::nothing());
@@ -353,7 +353,7 @@
         )?;
         line.read();
         // Its time counts from its last byte; that of a long one, which is still to come, from when it does.
-        let arrived = if bodiless { arrived } else { self.pulse.arrival(self.clock.now()) };
+        let arrived = if bodiless { arrived } else { self.stalls.arrival(self.clock.now()) };
         let deadline = self.deadlines[class];
         let expires = arrived + remaining.unwrap_or(deadline).min(deadline);
         let expires = self.posture.borrow().answers_by.map_or(expires, |by| expires.min(by));
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -16,7 +16,7 @@
 
 const FORM: &str = "merlinfold-orders";
 const VERSION: u32 = 1;
-const ORDERS_MOST: u64 = 4 << 20; // bytes: the names of far more servers than a node has
+const MAX_ORDERS: u64 = 4 << 20; // bytes: the names of far more servers than a node has
 
 /// What operators have ordered and not taken back.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -198,7 +198,7 @@
         }
         self.stamp = stamp;
         let read = match stamp {
-            Some((_, length)) if length > ORDERS_MOST => Err(format!("over {ORDERS_MOST} bytes")),
+            Some((_, length)) if length > MAX_ORDERS => Err(format!("over {MAX_ORDERS} bytes")),
             _ => fs::read_to_string(&self.orders).map_err(|error| error.to_string()),
         };
         match read.and_then(|text| decode(&self.node, &text)) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -37,8 +37,8 @@
 use merlinfold_fleet::{Disks, Fleet, Snapshot};
 use merlinfold_settings::{Env, HostLimits, Names};
 
-const MEMORY_LEAST: f64 = 32.0; // MB; taken where the configuration does not say
-const SOCKETS_LEAST: usize = 64; // descriptors below which no useful node fits
+const DEFAULT_MEMORY_MB: f64 = 32.0; // MB; taken where the configuration does not say
+const MIN_SOCKETS: usize = 64; // descriptors below which no useful node fits
 
 /// What a node is told at its start.
 #[derive(Debug, Deserialize)]
@@ -86,8 +86,8 @@
         let host = self.settings.host_limits().map_err(in_settings)?;
         let settings = self.settings.settings(names).map_err(in_settings)?;
         let seed = u64::from_str_radix(&self.seed, 16).map_err(|error| format!("seed: {error}"))?;
-        if self.limits.sockets < SOCKETS_LEAST {
-            return Err(format!("limits.sockets: under {SOCKETS_LEAST}"));
+        if self.limits.sockets < MIN_SOCKETS {
+            return Err(format!("limits.sockets: under {MIN_SOCKETS}"));
         }
         if self.console == Some(self.listen) && self.listen.port() != 0 {
             return Err(format!("console: {} is where clients connect", self.listen));
@@ -114,7 +114,7 @@
 
 /// A node whose sockets are open.
 pub struct Node {
-    door: front::Door,
+    listener: front::ClientListener,
     front: front::Front,
     driver: driver::Driver,
     console: Option<TcpListener>,
@@ -148,7 +148,7 @@
         let asks = settings.discovery == Discovery::Ask;
         let (moves, address) = watch::channel(config.discovery);
         let (discovery, watch) = discovery::Watcher::new(address, sender.clone(), asks);
-        let memory = (config.limits.memory_mb.unwrap_or(MEMORY_LEAST) * f64::from(1 << 20)) as usize; // saturates
+        let memory = (config.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * f64::from(1 << 20)) as usize; // saturates
         let room = room::Room::new(config.limits.sockets, memory, false);
         let balancer = Balancer::new(settings.clone(), seed);
         let mut driver =
@@ -163,9 +163,9 @@
         }
         driver.known(config.known.unwrap_or_default(), !asks);
         let opens = driver.posture().borrow().opens;
-        let door = front::Door::new(socket, opens).map_err(cannot("listen", config.listen))?;
+        let listener = front::ClientListener::new(socket, opens).map_err(cannot("listen", config.listen))?;
         let (fleet, name) = (None, config.name);
-        Ok(Node { door, front, driver, console, inputs, peers, discovery, fleet, moves, name })
+        Ok(Node { listener, front, driver, console, inputs, peers, discovery, fleet, moves, name })
     }
 
     /// Lets the node take part in a fleet under its own name. Serving waits for nothing that the fleet does.
@@ -185,7 +185,7 @@
 
     /// Where clients connect.
     pub fn address(&self) -> io::Result<SocketAddr> {
-        self.door.address()
+        self.listener.address()
     }
 
     /// By what a changed configuration reaches the node while it runs.
@@ -195,7 +195,7 @@
 
     /// Serves until the signal comes and all that was taken has been answered.
     pub async fn run(self, stop: impl Future<Output = ()>) {
-        let address = self.door.address().map_or_else(|error| error.to_string(), |at| at.to_string());
+        let address = self.listener.address().map_or_else(|error| error.to_string(), |at| at.to_string());
         info!(name = self.name, %address, "serving");
         let mut parts = tokio::task::JoinSet::new();
         let sender = self.driver.sender();
@@ -221,7 +221,7 @@
         };
         // The front decides when the node is done; the other parts go on serving it until then.
         tokio::select! {
-            () = Arc::new(self.front).serve(self.door) => info!("stopped"),
+            () = Arc::new(self.front).serve(self.listener) => info!("stopped"),
             () = stop => {}
             fault = first_fault(&mut parts) => std::panic::resume_unwind(fault.into_panic()),
         }
--- a/crates/node/src/room.rs
+++ b/crates/node/src/room.rs
@@ -11,7 +11,7 @@
 const CLIENTS_PART: usize = 3; // one descriptor in so many may be held by clients
 const BODIES_PART: usize = 4; // one byte of memory in so many may be held as bodies
 const BESIDE: usize = 16; // what a successor opens before there is room: log, state, discovery, a caller
-const SERVERS_LEAST: usize = 4; // connections without which a node serves nothing
+const MIN_SERVER_CONNECTIONS: usize = 4; // connections without which a node serves nothing
 /// Descriptors beside those of clients and servers: listeners, peers, discovery, runtime, log, callers.
 pub const OTHERS: usize = 16 + MAX_CONSOLE_CALLERS;
 /// Bytes that one unit of the room for bodies stands for.
@@ -36,7 +36,7 @@
         let servers = left.saturating_sub(BESIDE).min(sockets.saturating_sub(OTHERS) / 2);
         let alone = Shares {
             clients,
-            servers: servers.max(SERVERS_LEAST),
+            servers: servers.max(MIN_SERVER_CONNECTIONS),
             bodies: (memory / BODIES_PART / UNIT).min(Semaphore::MAX_PERMITS),
         };
         if !beside {
@@ -47,7 +47,7 @@
         Shares {
             clients: clients / 2,
             // Its own listeners and callers come out of the servers' part.
-            servers: half(servers).max(SERVERS_LEAST),
+            servers: half(servers).max(MIN_SERVER_CONNECTIONS),
             bodies: bodies / 2,
         }
     }
@@ -56,7 +56,7 @@
     fn beside(self, kept: Shares) -> Self {
         Shares {
             clients: self.clients.saturating_sub(kept.clients),
-            servers: self.servers.saturating_sub(kept.servers + OTHERS).max(SERVERS_LEAST),
+            servers: self.servers.saturating_sub(kept.servers + OTHERS).max(MIN_SERVER_CONNECTIONS),
             bodies: self.bodies.saturating_sub(kept.bodies),
         }
     }
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-pub(super) const BUFFER_MOST: usize = 16 << 10; // bytes buffered of an answer: all connections together must fit in memory
+pub(super) const MAX_BUFFER: usize = 16 << 10; // bytes buffered of an answer: all connections together must fit in memory
 
 /// A connection that is not in use, or whose attempt is out; closed when it is dropped.
 pub struct Connection {
@@ -28,7 +28,7 @@
         let stream = Arc::new(stream);
         let io = TokioIo::new(Shared(stream.clone()));
         let (sender, connection) =
-            http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(io).await.map_err(io::Error::other)?;
+            http1::Builder::new().max_buf_size(MAX_BUFFER).handshake(io).await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             // How it ends shows at the attempt on it.
             let _ = connection.await;
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -5,7 +5,7 @@
 pub(super) const IDLE_SHARE: f64 = 0.8; // of a server's idle timeout, after which a connection is not used again
 
 /// For a connection that its attempt has given up: a lost SYN is sent again after 1 s, the next after 2 s more.
-pub(super) const LATE_MOST: Duration = Duration::from_secs(2);
+pub(super) const MAX_LATE_CONNECT: Duration = Duration::from_secs(2);
 
 pub(super) const LATE_PART: usize = 4; // one slot in so many is left free by connections that nobody waits for
 
@@ -56,7 +56,7 @@
             return;
         }
         let task = tokio::spawn(async move {
-            if let Ok(Ok(connection)) = timeout(LATE_MOST, opening).await {
+            if let Ok(Ok(connection)) = timeout(MAX_LATE_CONNECT, opening).await {
                 opened(connection);
             }
         });
--- a/crates/node/tests/unit/front.rs
+++ b/crates/node/tests/unit/front.rs
@@ -54,7 +54,7 @@
         (format!("{head}Content-Length: 5\r\n\r\npin"), "HTTP/1.1 408"),
         ("GET /read HTTP/1.1\r\nHost: x\r\n\r\n".to_owned(), "HTTP/1.1 400"),
         ("GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n".to_owned(), "HTTP/1.1 404"),
-        (format!("{head}X-Fill: {}", "x".repeat(2 * HEAD_MOST)), "HTTP/1.1 431"),
+        (format!("{head}X-Fill: {}", "x".repeat(2 * MAX_HEAD)), "HTTP/1.1 431"),
     ];
     for (text, answer) in cases {
         let (got, after) = sent(&text).await;
@@ -67,11 +67,11 @@
 #[test]
 fn only_what_a_hold_up_kept_waiting_counts_from_its_beginning() {
     let ms = |n: u64| n * 1_000_000;
-    let pulse = Pulse::new(ms(1_000));
-    pulse.beat(ms(1_010));
-    assert_eq!(pulse.arrival(ms(1_015)), ms(1_015));
-    assert_eq!(pulse.arrival(ms(1_200)), ms(1_010), "found before the next beat");
-    pulse.beat(ms(1_200));
-    assert_eq!(pulse.arrival(ms(1_201)), ms(1_010), "found after it");
-    assert_eq!(pulse.arrival(ms(1_205)), ms(1_205), "the hold-up is over");
+    let stalls = StallDetector::new(ms(1_000));
+    stalls.heartbeat(ms(1_010));
+    assert_eq!(stalls.arrival(ms(1_015)), ms(1_015));
+    assert_eq!(stalls.arrival(ms(1_200)), ms(1_010), "found before the next beat");
+    stalls.heartbeat(ms(1_200));
+    assert_eq!(stalls.arrival(ms(1_201)), ms(1_010), "found after it");
+    assert_eq!(stalls.arrival(ms(1_205)), ms(1_205), "the hold-up is over");
 }
--- a/crates/node/tests/unit/room.rs
+++ b/crates/node/tests/unit/room.rs
@@ -13,7 +13,7 @@
         prop_assert!(all(alone) + BESIDE <= sockets);
         prop_assert!(2 * all(half) <= sockets);
         prop_assert!(alone.clients * 3 <= sockets && half.clients * 6 <= sockets);
-        prop_assert!(half.servers >= SERVERS_LEAST && 4 * alone.bodies * UNIT <= memory);
+        prop_assert!(half.servers >= MIN_SERVER_CONNECTIONS && 4 * alone.bodies * UNIT <= memory);
         // On its way from all to half, with so much still held.
         let still = |half: usize, all: usize| half + ((all - half) as f64 * over) as usize;
         let kept = Shares {
@@ -26,7 +26,7 @@
         let new = room.kept();
         // Until then it has not more than the few connections that its start leaves room for.
         prop_assert!(kept.clients + new.clients <= alone.clients && kept.bodies + new.bodies <= alone.bodies);
-        let few = new.servers <= SERVERS_LEAST;
+        let few = new.servers <= MIN_SERVER_CONNECTIONS;
         prop_assert!(few || kept.servers + new.servers + 2 * OTHERS + kept.clients + new.clients <= sockets);
         prop_assert!(!whole || new == half);
         prop_assert!(kept != half || whole);
