Rename the node's `room` to `capacity`

Cause: `Room` named the budgets of connections and held bodies by a word of our own. Change: `room.rs` and its tests are `capacity.rs`, `Room` is `Capacity`, `Budget::room` is `Budget::reserve`.

--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -16,8 +16,8 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 use tokio::time::{sleep, timeout_at, Instant, Sleep};
 
+use crate::capacity::{Slots, UNIT};
 use crate::clock::Clock;
-use crate::room::{Slots, UNIT};
 
 /// Bytes of a body up to which it may be held, either way.
 pub const MAX_HELD_BODY: usize = 64 << 10;
@@ -33,7 +33,7 @@
 
 impl Budget {
     /// Room for a body of this size; none if there is not so much left.
-    fn room(&self, bytes: usize) -> Option<Share> {
+    fn reserve(&self, bytes: usize) -> Option<Share> {
         if bytes <= FREE {
             return Some(None);
         }
@@ -91,7 +91,7 @@
     // Where the length is told room is taken once; a body beyond it passes on from its first bytes.
     let mut share = match told {
         Some(length) if length > MAX_HELD_BODY as u64 => return Ok(none),
-        Some(length) => match budget.room(length as usize) {
+        Some(length) => match budget.reserve(length as usize) {
             Some(share) => share,
             None => return Ok(none),
         },
@@ -114,8 +114,8 @@
         }
         held.extend_from_slice(&data);
         if told.is_none() && share.is_none() && held.len() > FREE {
-            match budget.room(MAX_HELD_BODY) {
-                Some(room) => share = room,
+            match budget.reserve(MAX_HELD_BODY) {
+                Some(reserved) => share = reserved,
                 None => return Ok(Gathered { held: held.freeze(), share, whole: false }),
             }
         }
--- a/crates/node/src/room.rs
+++ b/crates/node/src/capacity.rs
@@ -14,7 +14,7 @@
 const MIN_SERVER_CONNECTIONS: usize = 4; // connections without which a node serves nothing
 /// Descriptors beside those of clients and servers: listeners, peers, discovery, runtime, log, callers.
 pub const OTHERS: usize = 16 + MAX_CONSOLE_CALLERS;
-/// Bytes that one unit of the room for bodies stands for.
+/// Bytes in one unit of the capacity for bodies.
 pub const UNIT: usize = 1 << 10;
 
 /// How much of each.
@@ -137,7 +137,7 @@
 
 /// All that a process may hold.
 #[derive(Clone, Debug)]
-pub struct Room {
+pub struct Capacity {
     /// Connections of clients.
     pub clients: Arc<Slots>,
     /// Connections to servers.
@@ -148,11 +148,11 @@
     memory: usize,
 }
 
-impl Room {
+impl Capacity {
     /// Of so many descriptors and bytes of memory.
     pub fn new(sockets: usize, memory: usize, beside: bool) -> Self {
         let Shares { clients, servers, bodies } = Shares::of(sockets, memory, beside);
-        Room {
+        Capacity {
             clients: Slots::new(clients),
             servers: Slots::new(servers),
             bodies: Slots::new(bodies),
@@ -161,7 +161,7 @@
         }
     }
 
-    /// Makes room for another process, or takes it back.
+    /// Halves it for another process, or takes it back.
     pub fn resize(&self, beside: bool) {
         self.set(Shares::of(self.sockets, self.memory, beside));
     }
@@ -195,5 +195,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/room.rs"]
+#[path = "../tests/unit/capacity.rs"]
 mod tests;
--- a/crates/node/src/console/mod.rs
+++ b/crates/node/src/console/mod.rs
@@ -23,8 +23,8 @@
 use tokio::time::{sleep, timeout, Instant};
 use tracing::{info, warn};
 
+use crate::capacity::MAX_CONSOLE_CALLERS;
 use crate::input::{Call, Input, Said};
-use crate::room::MAX_CONSOLE_CALLERS;
 use merlinfold_fleet::LogHandle;
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(3); // for a whole call: callers wait 1 s
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -11,6 +11,7 @@
 use tracing::{debug, info, warn};
 
 use crate::body::Budget;
+use crate::capacity::Capacity;
 use crate::clock::Clock;
 use crate::figures::{self, End, Figures, Totals};
 use crate::handover::{Orders, Shared};
@@ -18,7 +19,6 @@
 use crate::lifecycle::{Life, Order, Posture};
 use crate::list::{Endpoint, List};
 use crate::peers::Peers;
-use crate::room::Room;
 use crate::upstream::{Answer, AnswerBody, Attempt, Connection, Ended, Outgoing, Pool, Server};
 use merlinfold_decide::interface::*;
 use merlinfold_decide::policy::Balancer;
@@ -58,7 +58,7 @@
     clock: Clock,
     limits: HostLimits,
     pool: Pool,
-    room: Room,
+    capacity: Capacity,
     inputs: UnboundedSender<Input>,
     watch: Arc<Notify>,
     peers: Option<Peers>,
@@ -81,7 +81,7 @@
 
 impl Driver {
     pub fn new(
-        balancer: Balancer, names: Names, clock: Clock, limits: HostLimits, room: Room,
+        balancer: Balancer, names: Names, clock: Clock, limits: HostLimits, capacity: Capacity,
         inputs: UnboundedSender<Input>, watch: Arc<Notify>,
     ) -> Self {
         let life = Life::new(limits.longest_deadline);
@@ -92,8 +92,8 @@
             names,
             clock,
             limits,
-            pool: Pool::new(room.servers.clone(), limits, clock),
-            room,
+            pool: Pool::new(capacity.servers.clone(), limits, clock),
+            capacity,
             inputs,
             watch,
             peers: None,
--- a/crates/node/src/driver/orders.rs
+++ b/crates/node/src/driver/orders.rs
@@ -56,7 +56,7 @@
     pub fn share(&mut self, mut shared: Shared) {
         let left = shared.changed();
         let companion = shared.has_companion();
-        self.room.resize(companion);
+        self.capacity.resize(companion);
         if companion {
             self.life.wait(self.clock.now());
             self.live();
@@ -81,21 +81,21 @@
         }
         let has = shared.has_companion();
         if has != had {
-            self.room.resize(has);
+            self.capacity.resize(has);
         }
-        if !self.room.settle() {
+        if !self.capacity.settle() {
             self.pool.shed();
             self.life.retire(); // a client that asks again is served by the other process
         }
         if !has {
             self.life.open();
         } else if shared.is_first() {
-            if let Err(error) = shared.keep(self.room.kept()) {
+            if let Err(error) = shared.keep(self.capacity.kept()) {
                 warn!(%error, "a successor does not hear how much room there is");
             }
         } else if !shared.has_place() {
             self.life.wait(self.clock.now()); // a third process, for which there is no room
-        } else if shared.kept().is_some_and(|kept| self.room.fit(kept)) {
+        } else if shared.kept().is_some_and(|kept| self.capacity.fit(kept)) {
             self.life.open();
         }
         if let Some(orders) = shared.changed() {
--- a/crates/node/src/driver/requests.rs
+++ b/crates/node/src/driver/requests.rs
@@ -114,7 +114,7 @@
                 deadline: open.deadline,
                 started: now,
                 begin_by: within.map_or(Nanos::MAX, |within| now.saturating_add(within)),
-                budget: Budget(self.room.bodies.clone()),
+                budget: Budget(self.capacity.bodies.clone()),
                 connect_timeout: self.limits.connect_timeout,
                 clock: self.clock,
                 written: self.figures.written(),
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -28,12 +28,12 @@
 use tracing::{info, warn};
 
 use crate::body::{gather, Broken, Budget, Gathered, Held, Upload, Waited};
+use crate::capacity::Capacity;
 use crate::clock::Clock;
 use crate::head::Asked;
 use crate::input::{Arrival, Input, Reply};
 use crate::lifecycle::Posture;
 use crate::line::{Line, Why};
-use crate::room::Room;
 use crate::stream::{Heard, Shared};
 use crate::upstream::{AnswerBody, Outgoing, Payload, Relay};
 use merlinfold_decide::interface::{Nanos, RequestId, Settings};
@@ -80,7 +80,7 @@
     tenants: Numbering,
     deadlines: Vec<Nanos>,
     posture: watch::Receiver<Posture>,
-    room: Room,
+    capacity: Capacity,
     clock: Clock,
     inputs: UnboundedSender<Input>,
     next: AtomicU64,
@@ -90,7 +90,7 @@
 
 impl Front {
     pub fn new(
-        settings: &Settings, names: &Names, clock: Clock, inputs: UnboundedSender<Input>, room: Room,
+        settings: &Settings, names: &Names, clock: Clock, inputs: UnboundedSender<Input>, capacity: Capacity,
         posture: watch::Receiver<Posture>,
     ) -> Self {
         Front {
@@ -98,7 +98,7 @@
             tenants: names.tenants.clone(),
             deadlines: settings.classes.iter().map(|class| class.deadline).collect(),
             posture,
-            room,
+            capacity,
             clock,
             inputs,
             next: AtomicU64::new(0),
@@ -118,7 +118,7 @@
                 front.stalls.heartbeat(front.clock.now());
                 if reported.elapsed() >= REPORT_EVERY {
                     reported = Instant::now();
-                    front.tally.report(front.room.clients.held(), front.room.clients.most());
+                    front.tally.report(front.capacity.clients.held(), front.capacity.clients.most());
                 }
             }
         });
@@ -156,7 +156,7 @@
         close.send_replace(true);
         let ends_at = self.posture.borrow().ends_at.unwrap_or(self.clock.now());
         let all_gone = async {
-            while self.room.clients.held() > 0 {
+            while self.capacity.clients.held() > 0 {
                 sleep(SETTLE).await;
             }
         };
@@ -166,13 +166,13 @@
     }
 
     async fn accept(self: &Arc<Self>, listener: &TcpListener, closing: &watch::Receiver<bool>) {
-        if self.room.clients.free() == 0 {
+        if self.capacity.clients.free() == 0 {
             count(&self.tally.full);
         }
-        while !self.room.clients.settle() {
+        while !self.capacity.clients.settle() {
             sleep(ACCEPT_PAUSE).await; // what is given back is for the process beside this one
         }
-        let slot = self.room.clients.take().await;
+        let slot = self.capacity.clients.take().await;
         match listener.accept().await {
             Ok((stream, _)) => self.take(stream, slot, closing),
             Err(error) => {
@@ -192,7 +192,7 @@
             tokio::spawn(async move {
                 front.connection(Shared(stream.clone()), Some(stream.clone()), closing).await;
                 let _ = SockRef::from(&*stream).shutdown(Shutdown::Write); // an error: it has ended already
-                let linger = if front.room.clients.free() == 0 { LINGER_FULL } else { LINGER };
+                let linger = if front.capacity.clients.free() == 0 { LINGER_FULL } else { LINGER };
                 let _ = timeout(linger, read_empty(&stream)).await;
                 drop(slot);
             });
@@ -204,7 +204,7 @@
     async fn leave(self: &Arc<Self>, listener: TcpListener, closing: &watch::Receiver<bool>) {
         let Ok(listener) = listener.into_std() else { return };
         loop {
-            let slot = self.room.clients.take().await;
+            let slot = self.capacity.clients.take().await;
             match listener.accept().map(|(stream, _)| stream) {
                 Ok(stream) => {
                     let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
@@ -276,7 +276,7 @@
 
     /// Whether there is little room for further clients.
     fn short(&self) -> bool {
-        self.room.clients.free() < SPARE
+        self.capacity.clients.free() < SPARE
     }
 
     /// Counts a connection that is closed in the middle of something.
@@ -345,12 +345,13 @@
         };
         let next =
             |came: usize| (patient + Duration::from_secs_f64(came as f64 / BODY_RATE), Waited::TooLong);
-        let gathered = gather(&mut body, &Budget(self.room.bodies.clone()), next).await.map_err(
-            |broken| match broken {
-                Broken::Late => StatusCode::REQUEST_TIMEOUT,
-                Broken::Off => StatusCode::BAD_REQUEST,
-            },
-        )?;
+        let gathered =
+            gather(&mut body, &Budget(self.capacity.bodies.clone()), next).await.map_err(|broken| {
+                match broken {
+                    Broken::Late => StatusCode::REQUEST_TIMEOUT,
+                    Broken::Off => StatusCode::BAD_REQUEST,
+                }
+            })?;
         line.read();
         // Its time counts from its last byte; that of a long one, which is still to come, from when it does.
         let arrived = if bodiless { arrived } else { self.stalls.arrival(self.clock.now()) };
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use tracing::{info, warn};
 
-use crate::room::Shares;
+use crate::capacity::Shares;
 
 const FORM: &str = "merlinfold-orders";
 const VERSION: u32 = 1;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! The real node: the decision module on sockets. Each part reports to the driver by messages.
 
 mod body;
+mod capacity;
 mod clock;
 mod console;
 mod discovery;
@@ -15,7 +16,6 @@
 mod list;
 mod peers;
 pub mod process;
-mod room;
 mod stream;
 mod upstream;
 
@@ -149,11 +149,18 @@
         let (moves, address) = watch::channel(config.discovery);
         let (discovery, watch) = discovery::Watcher::new(address, sender.clone(), asks);
         let memory = (config.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * f64::from(1 << 20)) as usize; // saturates
-        let room = room::Room::new(config.limits.sockets, memory, false);
+        let capacity = capacity::Capacity::new(config.limits.sockets, memory, false);
         let balancer = Balancer::new(settings.clone(), seed);
-        let mut driver =
-            driver::Driver::new(balancer, names.clone(), clock, host, room.clone(), sender.clone(), watch);
-        let front = front::Front::new(&settings, &names, clock, sender, room, driver.posture());
+        let mut driver = driver::Driver::new(
+            balancer,
+            names.clone(),
+            clock,
+            host,
+            capacity.clone(),
+            sender.clone(),
+            watch,
+        );
+        let front = front::Front::new(&settings, &names, clock, sender, capacity, driver.posture());
         driver.tell_through(peers.as_ref());
         // Before the list: no request may go to a server that is out, nor may one be taken in standby.
         match folder.map(|folder| handover::Shared::open(folder, &config.name)) {
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -23,9 +23,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::body::{gather, Budget, Held, Sending, Upload, Waited};
+use crate::capacity::Slots;
 use crate::clock::Clock;
 use crate::figures::Written;
-use crate::room::Slots;
 use crate::stream::Shared;
 use merlinfold_decide::interface::{LoadReport, Nanos, ServerId, Status};
 use merlinfold_settings::{set_figure, HostLimits};
--- a/crates/node/tests/unit/room.rs
+++ b/crates/node/tests/unit/capacity.rs
@@ -21,9 +21,9 @@
             servers: still(half.servers, alone.servers),
             bodies: still(half.bodies, alone.bodies),
         };
-        let room = Room::new(sockets, memory, true);
-        let whole = room.fit(kept);
-        let new = room.kept();
+        let capacity = Capacity::new(sockets, memory, true);
+        let whole = capacity.fit(kept);
+        let new = capacity.kept();
         // Until then it has not more than the few connections that its start leaves room for.
         prop_assert!(kept.clients + new.clients <= alone.clients && kept.bodies + new.bodies <= alone.bodies);
         let few = new.servers <= MIN_SERVER_CONNECTIONS;
--- a/crates/node/tests/unit/driver.rs
+++ b/crates/node/tests/unit/driver.rs
@@ -19,8 +19,8 @@
     let (mut names, clock, limits) = (Names::default(), Clock::new(), env.host_limits().unwrap());
     let balancer = Balancer::new(env.settings(&mut names).unwrap(), 1);
     let (sender, inputs) = mpsc::unbounded_channel();
-    let room = Room::new(256, 32 << 20, false);
-    (Driver::new(balancer, names, clock, limits, room, sender, Arc::new(Notify::new())), inputs)
+    let capacity = Capacity::new(256, 32 << 20, false);
+    (Driver::new(balancer, names, clock, limits, capacity, sender, Arc::new(Notify::new())), inputs)
 }
 
 fn list(name: &str, address: SocketAddr, since_ms: u64) -> List {
--- a/crates/node/tests/unit/front.rs
+++ b/crates/node/tests/unit/front.rs
@@ -23,11 +23,11 @@
         &names,
         Clock::new(),
         inputs,
-        Room::new(256, 1 << 20, false),
+        Capacity::new(256, 1 << 20, false),
         posture,
     ));
     let (_close, closing) = watch::channel(false);
-    let slot = front.room.clients.take().await;
+    let slot = front.capacity.clients.take().await;
     let (mut peer, stream) = tokio::io::duplex(1 << 20);
     let begun = Instant::now();
     let serving = front.clone();
@@ -39,7 +39,7 @@
     let mut answer = String::new();
     let _ = peer.read_to_string(&mut answer).await;
     connection.await.unwrap();
-    assert_eq!(front.room.clients.held(), 0, "the slot is free again");
+    assert_eq!(front.capacity.clients.held(), 0, "the slot is free again");
     (answer, begun.elapsed())
 }
 
