--- a/crates/membership/src/broadcast.rs
+++ b/crates/membership/src/broadcast.rs
@@ -5,8 +5,8 @@
 use crate::record::{Name, Record, Tale};
 use crate::wire::{encode, Writer};
 
-/// A member, and its accuser where the broadcast is an accusation: broadcasts of one key take each other's place, and as
-/// accusers count, each has its own.
+/// A member, and its accuser where the broadcast is an accusation: broadcasts of one key take each other's place, and
+/// as accusers count, each has its own.
 type Key = (Name, Option<Name>);
 
 #[derive(Clone, Debug)]
--- a/crates/membership/src/peer.rs
+++ b/crates/membership/src/peer.rs
@@ -4,10 +4,10 @@
 use crate::record::{Name, Profile, Record, Tale};
 use crate::wire::Window;
 
-const CALM_LEAST: Nanos = 1_000 * MS; // after a first refutation
-const CALM_MOST: Nanos = 16_000 * MS;
-const CALM_FADES: Nanos = 60_000 * MS; // a refutation counts half as much after this
-const FLAPS_MOST: u32 = 5; // beyond which calm grows no further
+const MIN_CALM: Nanos = 1_000 * MS; // after a first refutation
+const MAX_CALM: Nanos = 16_000 * MS;
+const FLAP_HALF_LIFE: Nanos = 60_000 * MS; // a refutation counts half as much after this
+const MAX_FLAPS: u32 = 5; // beyond which calm grows no further
 
 /// Where a member stands in this node's view.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -138,9 +138,9 @@
 
     /// It has refuted an accusation, or come back from the dead.
     pub fn refuted(&mut self, now: Nanos) {
-        let faded = now.saturating_sub(self.flapped) / CALM_FADES;
-        self.flaps = self.flaps.saturating_sub(faded.min(u64::from(FLAPS_MOST)) as u32).min(FLAPS_MOST);
-        let calm = (CALM_LEAST << self.flaps).min(CALM_MOST);
+        let faded = now.saturating_sub(self.flapped) / FLAP_HALF_LIFE;
+        self.flaps = self.flaps.saturating_sub(faded.min(u64::from(MAX_FLAPS)) as u32).min(MAX_FLAPS);
+        let calm = (MIN_CALM << self.flaps).min(MAX_CALM);
         self.calm_until = now.saturating_add(calm);
         (self.flaps, self.flapped) = (self.flaps + 1, now);
     }
