Call the agreed log's seat a replica, and a place among its voters a voter slot

Cause: `Seat` stood for two things, the local Raft instance and a place in the list of voters. Change: package-internal names only: `seat/` is `replica/` (`Replica`, `ReplicaError`, `Output`), `machine/seating.rs` is `voting.rs`; limits within one file are `MAX_*`. The public names (`Note::Seat`, `What::Seat`, `Standing::seat`) and the messages that an operator reads stay.

--- a/crates/agree/src/durable/mod.rs
+++ b/crates/agree/src/durable/mod.rs
@@ -1,6 +1,6 @@
 //! What a node keeps of the log on its disk, and what it believes of that at its next start.
 //!
-//! Files of [`merlinfold_store`], each replaced as a whole: `agree` says which seat it is and how far its log goes,
+//! Files of [`merlinfold_store`], each replaced as a whole: `agree` says which replica it is and how far its log goes,
 //! `agree-state` holds the state before the log, `agree-log-N` its entries, 64 a file. The first is written last; where
 //! entries are taken back, also first, so that what stands behind them is never believed.
 
@@ -11,7 +11,7 @@
 use thiserror::Error;
 
 use crate::applied::Applied;
-use crate::seat::Save;
+use crate::replica::Save;
 use crate::wire::{Group, RaftEntry};
 
 /// Entries in a file.
@@ -26,9 +26,9 @@
 pub struct Meta {
     /// The log.
     pub group: Group,
-    /// The number of the seat; 0: none.
+    /// The number of the replica; 0: none.
     pub voter: u64,
-    /// How often the node has started with that seat.
+    /// How often the node has started with that replica.
     pub starts: u64,
     /// Term, vote and how far all is agreed.
     pub hard: (u64, u64, u64),
@@ -74,7 +74,7 @@
 /// What was kept.
 #[derive(Clone, Debug, Default)]
 pub struct Kept {
-    /// The seat.
+    /// The replica.
     pub meta: Meta,
     /// The state before the log.
     pub state: Applied,
@@ -156,12 +156,12 @@
 }
 
 impl Image {
-    /// Of a seat that has just been taken, or of what was kept.
+    /// Of a replica that has just been started, or of what was kept.
     pub fn new(meta: Meta, entries: Vec<RaftEntry>) -> Self {
         Image { meta, entries: entries.into_iter().map(|entry| (entry.index, entry)).collect() }
     }
 
-    /// The files for a seat that begins after this state.
+    /// The files for a replica that begins after this state.
     pub fn begin(&mut self, state: &Applied, entries: Vec<RaftEntry>) -> Vec<Write> {
         self.entries = entries.into_iter().map(|entry| (entry.index, entry)).collect();
         self.bound(state.index);
@@ -199,7 +199,7 @@
     }
 
     /// The first file alone.
-    pub fn seat(&self) -> Vec<Write> {
+    pub fn replica(&self) -> Vec<Write> {
         vec![write(META, &self.meta)]
     }
 
--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -12,7 +12,7 @@
 mod config;
 mod durable;
 mod machine;
-mod seat;
+mod replica;
 mod wire;
 
 pub use config::{Defect, Identity, Name, Nanos, Peer, Tuning, MS, SECOND};
--- a/crates/agree/src/machine/following.rs
+++ b/crates/agree/src/machine/following.rs
@@ -10,7 +10,7 @@
 use crate::wire::{Body, Group, DATAGRAM_MOST, ENTRIES_MOST, PIECE};
 
 const CHILD_LASTS: Nanos = 3 * SECOND; // without a pull
-const CHILDREN_MOST: usize = 64;
+const MAX_CHILDREN: usize = 64;
 const WINDOW: usize = 16; // pieces that are on their way at once: the pace of a fetch is this each round trip
 const FETCH_AGAIN: Nanos = 250 * MS;
 const FETCH_LASTS: Nanos = 2 * SECOND; // without a piece, until another is asked
@@ -49,13 +49,13 @@
         let own = &self.id.name;
         let voters: Vec<Name> = self.applied.voters.values().map(|name| Name::from(name.as_str())).collect();
         let alive = |name: &Name| self.peers.get(name).is_some_and(|peer| peer.alive);
-        if let Some(leader) = self.seat.as_ref().and_then(|seat| seat.leader()) {
+        if let Some(leader) = self.replica.as_ref().and_then(|replica| replica.leader()) {
             let leader = self.node_of(leader);
             return leader.filter(|leader| leader != own);
         }
         let stale = now.saturating_sub(self.heard) > self.tuning.stale;
         let roots: Vec<Name> = voters.into_iter().filter(|name| name != own && alive(name)).collect();
-        if stale || roots.is_empty() || self.seat.is_some() {
+        if stale || roots.is_empty() || self.replica.is_some() {
             // Whoever it is: also nodes that only hold what is old, which may be newer than what is held here.
             let known = if roots.is_empty() || self.rng.u8(0..4) == 0 {
                 self.peers
@@ -78,15 +78,15 @@
         }
     }
 
-    /// Whether a leader tells the seat here what is agreed. One that was put out while it was away hears of no leader,
-    /// and learns of it by pulling like everybody else.
+    /// Whether a leader tells the replica here what is agreed. One that was put out while it was away hears of no
+    /// leader, and learns of it by pulling like everybody else.
     fn is_led(&self) -> bool {
-        let led = |seat: &crate::seat::Seat| !seat.behind && seat.leader().is_some();
-        self.seat.as_ref().is_some_and(led) && self.hello.is_none() && self.frozen.is_none()
+        let led = |replica: &crate::replica::Replica| !replica.behind && replica.leader().is_some();
+        self.replica.as_ref().is_some_and(led) && self.hello.is_none() && self.frozen.is_none()
     }
 
     pub(super) fn pull(&mut self, now: Nanos, out: &mut Vec<Action>) {
-        let behind = self.seat.as_ref().is_some_and(|seat| seat.behind);
+        let behind = self.replica.as_ref().is_some_and(|replica| replica.behind);
         if self.fetch.is_some() {
             self.fetch_more(now, out);
         }
@@ -114,18 +114,18 @@
     ) {
         if rank(group, index) > rank(self.group(), self.applied.index) {
             // It knows more than this node.
-            if self.seat.is_none() {
+            if self.replica.is_none() {
                 self.pull_from(now, from, out);
             }
             return;
         }
-        if let Some((at, parts)) = digest.filter(|_| group == self.group() && self.seat.is_some()) {
+        if let Some((at, parts)) = digest.filter(|_| group == self.group() && self.replica.is_some()) {
             if let Some(part) = self.applied.differs(at, &parts) {
                 out.push(Action::Tell(Note::Differs(from.clone(), at, part.to_owned())));
                 return self.send(&from, Body::Differs { index: at, part: part.to_owned() }, out);
             }
         }
-        if self.children.len() < CHILDREN_MOST || self.children.contains_key(&from) {
+        if self.children.len() < MAX_CHILDREN || self.children.contains_key(&from) {
             self.children.insert(from.clone(), Child { group, index, until: now + CHILD_LASTS });
         }
         self.feed(&from, group, index, out);
@@ -180,8 +180,8 @@
     pub(super) fn entries(
         &mut self, now: Nanos, from: &Name, group: Group, entries: Vec<Entry>, out: &mut Vec<Action>,
     ) {
-        let seated = self.is_led();
-        if group != self.group() || seated {
+        let is_led = self.is_led();
+        if group != self.group() || is_led {
             return;
         }
         let before = self.applied.index;
@@ -190,11 +190,12 @@
                 self.apply(now, entry, out);
             }
         }
-        // A seat that was behind goes on, also where nothing was missing after all.
-        let caught_up = self.seat.as_ref().is_some_and(|seat| seat.behind) && self.applied.index >= self.told;
+        // A replica that was behind goes on, also where nothing was missing after all.
+        let caught_up =
+            self.replica.as_ref().is_some_and(|replica| replica.behind) && self.applied.index >= self.told;
         if self.applied.index > before || caught_up {
-            if self.seat.is_some() && self.saving.is_none() && self.frozen.is_none() {
-                self.reseat(out);
+            if self.replica.is_some() && self.saving.is_none() && self.frozen.is_none() {
+                self.restart_replica(out);
             } else if self.applied.index < self.told {
                 self.pull_from(now, from.clone(), out);
             }
@@ -204,7 +205,7 @@
     /// Who has voted or stored in a group stays in it, for it may be the one whose word lets it decide, until there is
     /// a later epoch: that was founded only because this one cannot.
     pub(super) fn is_bound_to_another(&self, group: Group) -> bool {
-        let engaged = self.seat.as_ref().is_some_and(|seat| seat.engaged);
+        let engaged = self.replica.as_ref().is_some_and(|replica| replica.engaged);
         engaged && group != self.group() && group.epoch <= self.applied.epoch
     }
 
@@ -216,8 +217,8 @@
     ) {
         let further = rank(group, index) > rank(self.group(), self.applied.index);
         let bound = self.is_bound_to_another(group);
-        let seated = self.seat.as_ref().is_some_and(|seat| !seat.behind && group == self.group());
-        if !further || bound || seated || length > STATE_MOST || length == 0 {
+        let is_voter = self.replica.as_ref().is_some_and(|replica| !replica.behind && group == self.group());
+        if !further || bound || is_voter || length > STATE_MOST || length == 0 {
             return;
         }
         if let Some(fetch) = self.fetch.as_mut().filter(|fetch| now < fetch.until) {
@@ -311,7 +312,7 @@
         self.applied = state;
         if other {
             self.told = 0;
-            if self.seat.is_some() {
+            if self.replica.is_some() {
                 self.leave(out);
             }
         }
@@ -326,8 +327,8 @@
                 self.confirm(id, outcome, out);
             }
         }
-        if self.seat.is_some() && self.saving.is_none() && self.frozen.is_none() {
-            self.reseat(out);
+        if self.replica.is_some() && self.saving.is_none() && self.frozen.is_none() {
+            self.restart_replica(out);
         }
     }
 
@@ -335,7 +336,7 @@
     pub(super) fn differs(
         &mut self, now: Nanos, from: Name, group: Group, index: u64, part: String, out: &mut Vec<Action>,
     ) {
-        if group != self.group() || self.seat.is_some() {
+        if group != self.group() || self.replica.is_some() {
             return;
         }
         out.push(Action::Tell(Note::Differs(self.id.name.clone(), index, part)));
--- a/crates/agree/src/machine/founding.rs
+++ b/crates/agree/src/machine/founding.rs
@@ -21,11 +21,11 @@
 }
 
 impl Agree {
-    /// A seat in a group that can decide no more is free: so many of its voters' nodes vote by other numbers that less
-    /// than a majority is left.
+    /// A voter slot in a group that can decide no more is free: so many of its voters' nodes vote by other numbers that
+    /// less than a majority is left.
     pub(super) fn free(&mut self, now: Nanos, out: &mut Vec<Action>) {
-        let lost = |seat: &crate::seat::Seat| seat.engaged && seat.leader().is_none();
-        if now < self.next.free || !self.seat.as_ref().is_some_and(lost) {
+        let lost = |replica: &crate::replica::Replica| replica.engaged && replica.leader().is_none();
+        if now < self.next.free || !self.replica.as_ref().is_some_and(lost) {
             return;
         }
         self.next.free = now + ASK_EVERY;
@@ -39,8 +39,8 @@
         };
         let left = voters.len() - voters.iter().filter(gone).count();
         if left < voters.len() / 2 + 1 {
-            if let Some(seat) = &mut self.seat {
-                seat.engaged = false;
+            if let Some(replica) = &mut self.replica {
+                replica.engaged = false;
             }
         }
     }
@@ -85,8 +85,8 @@
         let held = |name: &str| self.words.get(name).filter(|word| !word.holds).map(|word| word.voter);
         let mut voters: BTreeMap<u64, String> = BTreeMap::new();
         for name in first {
-            // The group has its full size from the start, or two halves of the candidates could each make one: a seat
-            // of one that is not there stands empty until it is replaced.
+            // The group has its full size from the start, or two halves of the candidates could each make one: a voter
+            // slot of one that is not there stands empty until it is replaced.
             let number = if *name == self.id.name { Some(self.voter) } else { held(name) };
             voters.insert(number.unwrap_or_else(|| self.rng.u64(1..)), name.to_string());
         }
--- a/crates/agree/src/machine/mod.rs
+++ b/crates/agree/src/machine/mod.rs
@@ -3,8 +3,8 @@
 mod following;
 mod founding;
 mod proposing;
-mod seating;
 mod voters;
+mod voting;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -13,7 +13,7 @@
 use crate::command::{Command, CommandId, Entry, Outcome};
 use crate::config::{Identity, Name, Nanos, Peer, Tuning};
 use crate::durable::{Image, Kept, Write};
-use crate::seat::Seat;
+use crate::replica::Replica;
 use crate::wire::{self, encode, Body, Envelope, Group};
 use following::{Child, Fetch};
 use founding::Word;
@@ -61,7 +61,7 @@
     Outcome(CommandId, Outcome),
     /// Nobody has confirmed it in time; it may still come to be, and may be proposed again by the same id.
     GivenUp(CommandId),
-    /// This node has taken a seat, or has given it up.
+    /// This node has taken a voter slot, or has given it up.
     Seat(Option<u64>),
     /// This node leads in this term, or no longer.
     Leads(Option<u64>),
@@ -84,7 +84,7 @@
     pub told: u64,
     /// Whether what is held here is as new as anybody told within the last while; else it is old.
     pub fresh: bool,
-    /// The number of the seat.
+    /// The number of the voter slot.
     pub seat: Option<u64>,
     /// Whether this node leads.
     pub leads: bool,
@@ -103,14 +103,14 @@
     told: u64,
     heard: Nanos, // when somebody last told something of this log
     halted: Option<Unknown>,
-    seat: Option<Seat>,
+    replica: Option<Replica>,
     voter: u64, // the number by which this node votes, or would
     image: Option<Image>,
     saving: Option<Saving>,
     saving_since: Nanos,
     now: Nanos,                                      // when this node last had its turn
     names: BTreeMap<u64, Name>, // nodes of voters that were heard, also of such as the state here does not know yet
-    frozen: Option<Nanos>,      // since when the disk takes nothing: the seat says nothing until it does
+    frozen: Option<Nanos>,      // since when the disk takes nothing: the replica says nothing until it does
     hello: Option<std::collections::BTreeSet<Name>>, // who has let the old number in
     seen: BTreeMap<u64, u64>,
     words: BTreeMap<Name, Word>,
@@ -130,7 +130,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Saving {
     /// What the consensus wants kept.
-    Seat,
+    Replica,
     /// Something that nothing waits for.
     Aside,
 }
@@ -167,7 +167,7 @@
             told: 0,
             heard: 0,
             halted: None,
-            seat: None,
+            replica: None,
             voter: fresh,
             image: None,
             saving: None,
@@ -198,7 +198,7 @@
     /// Takes one event and appends what is to be done about it.
     pub fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
         if now.saturating_sub(self.now) > self.patience() {
-            self.seat.iter_mut().for_each(Seat::step_down); // this node was held up
+            self.replica.iter_mut().for_each(Replica::step_down); // this node was held up
         }
         self.now = now;
         match event {
@@ -220,9 +220,9 @@
 
     /// When it next wants a tick.
     pub fn due(&self) -> Nanos {
-        let seated = self.seat.is_some() && self.hello.is_none() && self.frozen.is_none();
+        let is_voter = self.replica.is_some() && self.hello.is_none() && self.frozen.is_none();
         let mut due = self.next.pull.min(self.next.look);
-        if seated {
+        if is_voter {
             due = due.min(self.next.tick);
         }
         if self.hello.is_some() {
@@ -231,7 +231,7 @@
         if self.frozen.is_some() {
             due = due.min(self.next.thaw);
         }
-        if self.seat.is_none() && self.id.is_candidate() {
+        if self.replica.is_none() && self.id.is_candidate() {
             due = due.min(self.next.ask);
         }
         self.proposals.values().map(|proposal| proposal.next).fold(due, Nanos::min)
@@ -285,32 +285,32 @@
             told: self.told.max(self.applied.index),
             fresh: self.applied.index >= self.told
                 && now.saturating_sub(self.heard) <= self.tuning.stale + self.tuning.pull,
-            seat: self.seat.as_ref().map(|seat| seat.voter),
+            seat: self.replica.as_ref().map(|replica| replica.voter),
             leads: self.leads().is_some(),
             voters: self.applied.voters.clone(),
         }
     }
 
-    /// Everything about the seat in a line, for whoever looks for a fault.
+    /// Everything about the replica in a line, for whoever looks for a fault.
     pub fn inside(&self) -> String {
-        let seat = self.seat.as_ref().map(Seat::inside);
+        let replica = self.replica.as_ref().map(Replica::inside);
         let (saving, frozen, hello) = (self.saving, self.frozen, &self.hello);
         format!(
-            "{} at {} of {}, {seat:?}, {saving:?}, frozen {frozen:?}, hello {hello:?}",
+            "{} at {} of {}, {replica:?}, {saving:?}, frozen {frozen:?}, hello {hello:?}",
             self.voter, self.applied.index, self.told
         )
     }
 
     /// The term in which this node leads.
     pub fn leads(&self) -> Option<u64> {
-        self.seat.as_ref().filter(|seat| seat.leads() && self.frozen.is_none()).map(Seat::term)
+        self.replica.as_ref().filter(|replica| replica.leads() && self.frozen.is_none()).map(Replica::term)
     }
 
     /// What this node's number has voted for, by term, where that is durable: nobody was told before.
     pub fn vote(&self) -> Option<(u64, u64, u64)> {
-        let seat = self.seat.as_ref().filter(|_| self.saving.is_none() && self.frozen.is_none())?;
-        let (term, vote) = seat.hard();
-        Some((seat.voter, term, vote)).filter(|_| vote != 0)
+        let replica = self.replica.as_ref().filter(|_| self.saving.is_none() && self.frozen.is_none())?;
+        let (term, vote) = replica.hard();
+        Some((replica.voter, term, vote)).filter(|_| vote != 0)
     }
 
     fn send(&mut self, to: &Name, body: Body, out: &mut Vec<Action>) {
--- a/crates/agree/src/machine/proposing.rs
+++ b/crates/agree/src/machine/proposing.rs
@@ -8,7 +8,7 @@
 /// Commands that wait here for an answer.
 pub const PROPOSALS_MOST: usize = 256;
 
-const HOPS_MOST: u8 = 2;
+const MAX_HOPS: u8 = 2;
 
 /// One that waits.
 #[derive(Clone, Debug)]
@@ -68,12 +68,12 @@
     /// Takes a command to the leader: this node, or the one that is known, or a voter who may know. It is sent on so
     /// often and no more, whatever nodes believe of each other.
     pub(super) fn passed_on(&mut self, command: &Command, hops: u8, out: &mut Vec<Action>) {
-        if self.hello.is_some() || hops >= HOPS_MOST {
+        if self.hello.is_some() || hops >= MAX_HOPS {
             return self.lead(command);
         }
-        let seat = self.seat.as_ref().filter(|_| self.frozen.is_none());
-        let leader = seat.and_then(|seat| seat.leader());
-        let to = match (leader, seat.is_some()) {
+        let replica = self.replica.as_ref().filter(|_| self.frozen.is_none());
+        let leader = replica.and_then(|replica| replica.leader());
+        let to = match (leader, replica.is_some()) {
             (Some(leader), _) if leader == self.voter => return self.lead(command),
             (Some(leader), _) => self.node_of(leader),
             (None, true) => None,
@@ -92,8 +92,8 @@
     /// Proposes it if this node leads; one that there is no room for comes again.
     fn lead(&mut self, command: &Command) {
         if self.hello.is_none() && self.frozen.is_none() {
-            if let Some(seat) = &mut self.seat {
-                seat.propose(command);
+            if let Some(replica) = &mut self.replica {
+                replica.propose(command);
             }
         }
     }
--- a/crates/agree/src/machine/voters.rs
+++ b/crates/agree/src/machine/voters.rs
@@ -1,4 +1,4 @@
-//! Who votes: seats of processes that are gone go to candidates that have caught up, one at a time.
+//! Who votes: voter slots of processes that are gone go to candidates that have caught up, one at a time.
 
 use std::collections::BTreeSet;
 
@@ -11,7 +11,7 @@
 impl Agree {
     /// The leader asks the candidates, and proposes one change where one is due.
     pub(super) fn replace(&mut self, now: Nanos, out: &mut Vec<Action>) {
-        if self.leads().is_none() || self.seat.as_ref().is_some_and(|seat| seat.is_saving()) {
+        if self.leads().is_none() || self.replica.as_ref().is_some_and(|replica| replica.is_saving()) {
             self.gone.clear();
             return;
         }
@@ -19,7 +19,7 @@
             self.id.candidates.iter().filter(|name| **name != self.id.name).cloned().collect();
         asked.iter().for_each(|name| self.send(name, crate::wire::Body::Ask, out));
         self.words.retain(|_, word| now.saturating_sub(word.at) <= WORD_LASTS);
-        // A seat is empty while its node is dead here, or says that it votes by another number.
+        // A voter slot is empty while its node is dead here, or says that it votes by another number.
         let voters = self.applied.voters.clone();
         let empty = |number: u64, name: &str| {
             let dead = self.peers.get(name).is_none_or(|peer| !peer.alive);
@@ -35,12 +35,12 @@
         let Some(candidate) = self.candidate(&voters.values().cloned().collect(), &empty) else { return };
         if voters.len() < self.id.voters {
             let (number, name) = candidate;
-            let (Some(seat), name) = (&mut self.seat, name.to_string()) else { return };
-            seat.propose_voter(number, Some(&name));
+            let (Some(replica), name) = (&mut self.replica, name.to_string()) else { return };
+            replica.propose_voter(number, Some(&name));
             return self.drive(now, out);
         }
         let long = |since: &Nanos| now.saturating_sub(*since) >= self.tuning.replace_after;
-        // One that is back under another number has lost what it knew for good: its seat need not wait.
+        // One that is back under another number has lost what it knew for good: its voter slot need not wait.
         let back = |number: &u64| {
             voters
                 .get(number)
@@ -49,14 +49,14 @@
         };
         let due =
             self.gone.iter().find(|(number, since)| long(since) || back(number)).map(|(number, _)| *number);
-        if let (Some(number), Some(seat)) = (due, &mut self.seat) {
-            seat.propose_voter(number, None);
+        if let (Some(number), Some(replica)) = (due, &mut self.replica) {
+            replica.propose_voter(number, None);
             self.drive(now, out);
         }
     }
 
-    /// A candidate that has caught up and holds no seat, from where fewest voters are: zone, then machine.
-    fn candidate(&self, seated: &BTreeSet<String>, empty: &BTreeSet<u64>) -> Option<(u64, Name)> {
+    /// A candidate that has caught up and holds no voter slot, from where fewest voters are: zone, then machine.
+    fn candidate(&self, voter_names: &BTreeSet<String>, empty: &BTreeSet<u64>) -> Option<(u64, Name)> {
         let kept = self.applied.voters.iter().filter(|(number, _)| !empty.contains(number));
         let kept: BTreeSet<&str> = kept.map(|(_, name)| name.as_str()).collect();
         let fits = |name: &&Name| {
@@ -76,8 +76,8 @@
             (zone, machine.count())
         };
         let free = self.id.candidates.iter().filter(|name| fits(name).is_some());
-        // Among equals one whose name has no seat yet to give up.
-        let best = free.min_by_key(|name| (crowd(name), seated.contains(&***name)))?;
+        // Among equals one whose name has no voter slot yet to give up.
+        let best = free.min_by_key(|name| (crowd(name), voter_names.contains(&***name)))?;
         fits(&best).map(|number| (number, best.clone()))
     }
 }
--- a/crates/agree/src/machine/voting.rs
+++ b/crates/agree/src/machine/voting.rs
@@ -1,16 +1,16 @@
-//! The seat of a voter: taken, kept through a restart, and given up.
+//! A voter's replica: started, kept through a restart, and given up.
 
 use super::{Action, Agree, Note, Saving};
 use crate::command::Entry;
 use crate::config::{Defect, Name, Nanos, MS};
 use crate::durable::{Image, Kept, Meta, Write};
-use crate::seat::{Out, Seat};
+use crate::replica::{Output, Replica};
 use crate::wire::{Body, Group, Raft};
 
 const HELLO_EVERY: Nanos = 300 * MS;
 const THAW_EVERY: Nanos = 1_000 * MS;
-const FROZEN_LONG: Nanos = 5_000 * MS; // a seat that waits for so long is for others to take
-const SEEN_MOST: usize = 64; // numbers of which a start is remembered
+const FROZEN_LONG: Nanos = 5_000 * MS; // a voter slot that waits for so long is for others to take
+const MAX_SEEN: usize = 64; // numbers of which a start is remembered
 
 impl Agree {
     /// Goes on from a disk that is believed: under the old number, if others let it in.
@@ -26,10 +26,10 @@
             }
             let hard = (meta.hard.0, meta.hard.1);
             let seed = self.rng.u64(..);
-            match Seat::new(meta.voter, &self.applied, hard, &entries, &self.tuning, seed) {
-                Ok(seat) => {
+            match Replica::new(meta.voter, &self.applied, hard, &entries, &self.tuning, seed) {
+                Ok(replica) => {
                     self.voter = meta.voter;
-                    self.seat = Some(seat);
+                    self.replica = Some(replica);
                     self.hello = Some(Default::default());
                 }
                 Err(_) => {
@@ -39,7 +39,7 @@
             }
         }
         let image = Image::new(meta, entries);
-        let writes = image.seat();
+        let writes = image.replica();
         self.image = Some(image);
         self.save(Saving::Aside, writes, out);
     }
@@ -76,7 +76,7 @@
     }
 
     fn saw(&mut self, voter: u64, starts: u64) -> u64 {
-        if self.seen.len() >= SEEN_MOST && !self.seen.contains_key(&voter) {
+        if self.seen.len() >= MAX_SEEN && !self.seen.contains_key(&voter) {
             let voters = &self.applied.voters;
             self.seen.retain(|number, _| voters.contains_key(number));
         }
@@ -104,16 +104,16 @@
         }
     }
 
-    /// Whether this process, or what its disk may still hold, has a seat: it then gives no word for another group.
+    /// Whether this process, or what its disk may still hold, has a replica: it then gives no word for another group.
     pub(super) fn is_bound(&self) -> bool {
-        self.seat.is_some() || self.frozen.is_some() || self.saving.is_some()
+        self.replica.is_some() || self.frozen.is_some() || self.saving.is_some()
     }
 
     /// The number by which others should know this node as a voter.
     pub(super) fn says(&self, now: Nanos) -> u64 {
         let long = self.frozen.is_some_and(|since| now.saturating_sub(since) >= FROZEN_LONG);
         // As long as the disk may still hold another number, nobody may count on this one.
-        let unsure = self.seat.is_none() && (self.frozen.is_some() || self.saving.is_some());
+        let unsure = self.replica.is_none() && (self.frozen.is_some() || self.saving.is_some());
         if long || unsure {
             0
         } else {
@@ -126,17 +126,17 @@
         if self.frozen.is_none() || self.saving.is_some() || now < self.next.thaw {
             return;
         }
-        if self.seat.is_some() {
-            return self.reseat(out);
+        if self.replica.is_some() {
+            return self.restart_replica(out);
         }
         let Some(image) = &self.image else { return };
-        let writes = image.seat();
+        let writes = image.replica();
         self.save(Saving::Aside, writes, out);
     }
 
     /// Gives the number up for good, on the disk too. What is agreed is still held.
     pub(super) fn leave(&mut self, out: &mut Vec<Action>) {
-        if self.seat.take().is_some() {
+        if self.replica.take().is_some() {
             out.push(Action::Tell(Note::Seat(None)));
         }
         self.hello = None;
@@ -144,69 +144,71 @@
         self.voter = self.rng.u64(1..);
         if let Some(image) = &mut self.image {
             image.meta.voter = 0;
-            let writes = image.seat();
+            let writes = image.replica();
             self.save(Saving::Aside, writes, out);
         }
     }
 
-    /// Takes the seat that the state says is this number's, or gives up one that is no more.
+    /// Takes the voter slot that the state says is this number's, or gives up one that is no more.
     pub(super) fn sit(&mut self, now: Nanos, out: &mut Vec<Action>) {
         let listed = self.applied.voters.contains_key(&self.voter);
-        match &self.seat {
+        match &self.replica {
             Some(_) if !listed && self.saving.is_none() && self.frozen.is_none() => self.leave(out),
             None if listed && self.fetch.is_none() && self.halted.is_none() && !self.is_bound() => {
-                self.seat_at((0, 0), Vec::new(), out);
+                self.start_replica((0, 0), Vec::new(), out);
                 self.next.tick = now;
             }
             _ => {}
         }
     }
 
-    fn seat_at(&mut self, hard: (u64, u64), kept: Vec<crate::wire::RaftEntry>, out: &mut Vec<Action>) {
+    fn start_replica(&mut self, hard: (u64, u64), kept: Vec<crate::wire::RaftEntry>, out: &mut Vec<Action>) {
         let seed = self.rng.u64(..);
-        let Ok(seat) = Seat::new(self.voter, &self.applied, hard, &kept, &self.tuning, seed) else { return };
+        let Ok(replica) = Replica::new(self.voter, &self.applied, hard, &kept, &self.tuning, seed) else {
+            return;
+        };
         let (group, voter) = (self.group(), self.voter);
         if let Some(image) = &mut self.image {
             let starts = if image.meta.voter == voter { image.meta.starts } else { 1 };
             let seen = self.seen.clone();
             image.meta = Meta { group, voter, starts, hard: (hard.0, hard.1, 0), log: (0, 0), seen };
             let writes = image.begin(&self.applied, kept);
-            self.save(Saving::Seat, writes, out);
+            self.save(Saving::Replica, writes, out);
         }
-        let fresh = self.seat.is_none();
-        self.seat = Some(seat);
+        let fresh = self.replica.is_none();
+        self.replica = Some(replica);
         if fresh {
             out.push(Action::Tell(Note::Seat(Some(voter))));
         }
     }
 
-    /// The seat goes on from the state that was fetched, with what it had stored beyond that.
-    pub(super) fn reseat(&mut self, out: &mut Vec<Action>) {
-        let Some(seat) = &self.seat else { return };
+    /// The replica goes on from the state that was fetched, with what it had stored beyond that.
+    pub(super) fn restart_replica(&mut self, out: &mut Vec<Action>) {
+        let Some(replica) = &self.replica else { return };
         let (at, term) = (self.applied.index, self.applied.term);
-        let entries = seat.entries();
-        let agrees = seat.term_at(at) == Some(term);
+        let entries = replica.entries();
+        let agrees = replica.term_at(at) == Some(term);
         let beyond =
             if agrees { entries.into_iter().filter(|entry| entry.index > at).collect() } else { Vec::new() };
-        let hard = seat.hard();
-        self.seat_at(hard, beyond, out);
+        let hard = replica.hard();
+        self.start_replica(hard, beyond, out);
     }
 
     pub(super) fn raft(
         &mut self, now: Nanos, from: &Name, group: Group, starts: u64, message: Raft, out: &mut Vec<Action>,
     ) {
         self.saw(message.sender(), starts);
-        if self.names.len() >= SEEN_MOST {
+        if self.names.len() >= MAX_SEEN {
             self.names.clear(); // those that still speak are soon there again
         }
         self.names.insert(message.sender(), from.clone());
         if message.to() != self.voter {
             return;
         }
-        match &mut self.seat {
-            Some(seat) if group == Group { epoch: self.applied.epoch, number: self.applied.group } => {
+        match &mut self.replica {
+            Some(replica) if group == Group { epoch: self.applied.epoch, number: self.applied.group } => {
                 if self.hello.is_none() && self.frozen.is_none() {
-                    seat.step(message);
+                    replica.step(message);
                 }
             }
             // Somebody counts this node among its voters and the state here does not say so yet.
@@ -219,22 +221,22 @@
         if self.hello.is_some() || self.frozen.is_some() {
             return;
         }
-        let Some(seat) = &mut self.seat else { return };
+        let Some(replica) = &mut self.replica else { return };
         if now >= self.next.tick {
             // Time that was lost is not made up for: a node that was held up has not waited for anybody.
             self.next.tick = now + self.tuning.tick;
-            seat.tick();
+            replica.tick();
         }
     }
 
     /// Carries out what the consensus wants, until it wants nothing more or waits for the disk.
     pub(super) fn drive(&mut self, now: Nanos, out: &mut Vec<Action>) {
         while self.saving.is_none() && self.hello.is_none() && self.frozen.is_none() {
-            let Some(seat) = &mut self.seat else { return };
-            if seat.behind {
+            let Some(replica) = &mut self.replica else { return };
+            if replica.behind {
                 return;
             }
-            let Out { messages, agreed, save } = seat.out();
+            let Output { messages, agreed, save } = replica.out();
             self.carry(now, messages, agreed, out);
             let Some(save) = save else { return };
             if self.tuning.defect == Some(Defect::AppliesEarly) {
@@ -244,7 +246,7 @@
             if let Some(image) = self.image.as_mut().filter(|_| changes) {
                 image.meta.seen = self.seen.clone();
                 let writes = image.keep(&save);
-                self.save(Saving::Seat, writes, out);
+                self.save(Saving::Replica, writes, out);
                 return;
             }
             self.saved(now, out);
@@ -252,8 +254,8 @@
     }
 
     fn saved(&mut self, now: Nanos, out: &mut Vec<Action>) {
-        let Some(seat) = &mut self.seat else { return };
-        let Out { messages, agreed, .. } = seat.saved();
+        let Some(replica) = &mut self.replica else { return };
+        let Output { messages, agreed, .. } = replica.saved();
         self.carry(now, messages, agreed, out);
     }
 
@@ -279,8 +281,8 @@
     }
 
     fn compact(&mut self, out: &mut Vec<Action>) {
-        let Some(seat) = &mut self.seat else { return };
-        if self.saving.is_some() || self.frozen.is_some() || !seat.compact(self.applied.index) {
+        let Some(replica) = &mut self.replica else { return };
+        if self.saving.is_some() || self.frozen.is_some() || !replica.compact(self.applied.index) {
             return;
         }
         if let Some(image) = &mut self.image {
@@ -292,7 +294,7 @@
     pub(super) fn persisted(&mut self, now: Nanos, durable: bool, out: &mut Vec<Action>) {
         let Some(what) = self.saving.take() else { return };
         if now.saturating_sub(self.saving_since) > self.patience() {
-            self.seat.iter_mut().for_each(Seat::step_down);
+            self.replica.iter_mut().for_each(Replica::step_down);
         }
         if !durable {
             // After a failed sync nobody knows what the disk holds: it is not asked again by this process.
@@ -309,7 +311,7 @@
         if self.frozen.take().is_some() {
             self.next.tick = now;
         }
-        if what == Saving::Seat {
+        if what == Saving::Replica {
             self.saved(now, out);
         }
     }
--- a/crates/agree/src/replica/mod.rs
+++ b/crates/agree/src/replica/mod.rs
@@ -1,4 +1,4 @@
-//! A voter's seat: the consensus, with what it stores and sends taken apart.
+//! A voter's replica of the log: the consensus, with what it stores and sends taken apart.
 //!
 //! The crate `raft` panics where its own state contradicts itself, as after a disk that lied. What could bring that
 //! about from outside is checked before it is stepped.
@@ -17,9 +17,9 @@
 use crate::wire::{Raft, RaftEntry, ENTRIES_MOST};
 pub use store::Store;
 
-const INFLIGHT: usize = 32; // appends on the way to one voter
-const UNCOMMITTED_MOST: u64 = 256 << 10; // bytes of entries
-const WAITING: usize = 64; // messages that wait for the disk
+const MAX_INFLIGHT: usize = 32; // appends on the way to one voter
+const MAX_UNCOMMITTED: u64 = 256 << 10; // bytes of entries
+const MAX_WAITING: usize = 64; // messages that wait for the disk
 
 /// What has to be durable before anything that rests on it is sent.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -30,19 +30,19 @@
     pub entries: Vec<RaftEntry>,
 }
 
-/// What comes out of a seat.
+/// What comes out of a replica.
 #[derive(Default)]
-pub struct Out {
+pub struct Output {
     /// To other voters.
     pub messages: Vec<Raft>,
     /// Agreed, in order.
     pub agreed: Vec<Entry>,
-    /// To be made durable; nothing more comes out until [`Seat::saved`].
+    /// To be made durable; nothing more comes out until [`Replica::saved`].
     pub save: Option<Save>,
 }
 
-/// A seat in a group.
-pub struct Seat {
+/// A replica in a group.
+pub struct Replica {
     /// Its number.
     pub voter: u64,
     /// It has voted or stored something: it may not leave its group any more.
@@ -55,27 +55,27 @@
     keep: u64,
     out: Option<Ready>,
     waiting: Vec<Raft>,
-    /// A leader says that the seat is too far behind for entries.
+    /// A leader says that the replica is too far behind for entries.
     pub behind: bool,
 }
 
-/// Why a seat cannot be taken.
+/// Why a replica cannot be started.
 #[derive(Debug, thiserror::Error)]
 #[error("the consensus does not start from what was kept: {0}; it is set aside and the node follows")]
-pub struct NoSeat(String);
+pub struct ReplicaError(String);
 
-impl Seat {
-    /// A seat whose log begins after `state`, with `entries` behind it.
+impl Replica {
+    /// A replica whose log begins after `state`, with `entries` behind it.
     pub fn new(
         voter: u64, state: &Applied, hard: (u64, u64), entries: &[RaftEntry], tuning: &Tuning, seed: u64,
-    ) -> Result<Self, NoSeat> {
+    ) -> Result<Self, ReplicaError> {
         let store = Store::after(state, hard.0, hard.1);
         let kept: Option<Vec<_>> = entries.iter().map(RaftEntry::entry).collect();
-        let kept = kept.ok_or_else(|| NoSeat("an entry of no kind".to_owned()))?;
+        let kept = kept.ok_or_else(|| ReplicaError("an entry of no kind".to_owned()))?;
         let follow =
             kept.windows(2).all(|pair| pair[1].index == pair[0].index + 1 && pair[1].term >= pair[0].term);
         if !follow || !store.append(&kept) {
-            return Err(NoSeat("its entries do not follow each other".to_owned()));
+            return Err(ReplicaError("its entries do not follow each other".to_owned()));
         }
         let config = Config {
             id: voter,
@@ -85,17 +85,17 @@
             max_election_tick: 2 * tuning.election_ticks,
             applied: state.index,
             max_size_per_msg: ENTRIES_MOST as u64,
-            max_inflight_msgs: INFLIGHT,
+            max_inflight_msgs: MAX_INFLIGHT,
             // Without a majority nothing is agreed, and what is sent again and again must not pile up.
-            max_uncommitted_size: UNCOMMITTED_MOST,
+            max_uncommitted_size: MAX_UNCOMMITTED,
             check_quorum: true,
             pre_vote: true,
             ..Config::default()
         };
         let raw = RawNode::new(&config, store.clone(), &Logger::root(Discard, o!()));
-        let raw = raw.map_err(|error| NoSeat(error.to_string()))?;
+        let raw = raw.map_err(|error| ReplicaError(error.to_string()))?;
         let engaged = hard.1 != 0 || !kept.is_empty();
-        let mut seat = Seat {
+        let mut replica = Replica {
             voter,
             engaged,
             raw,
@@ -108,8 +108,8 @@
             waiting: Vec::new(),
             behind: false,
         };
-        seat.draw();
-        Ok(seat)
+        replica.draw();
+        Ok(replica)
     }
 
     /// Replaces the consensus' own draw of the election time, which no seed would give again. It depends on what the
@@ -180,7 +180,7 @@
     /// A message of another voter.
     pub fn step(&mut self, message: Raft) {
         if self.out.is_some() {
-            if self.waiting.len() < WAITING {
+            if self.waiting.len() < MAX_WAITING {
                 self.waiting.push(message);
             }
             return;
@@ -235,8 +235,8 @@
     }
 
     /// What has come of all that since the last time.
-    pub fn out(&mut self) -> Out {
-        let mut out = Out::default();
+    pub fn out(&mut self) -> Output {
+        let mut out = Output::default();
         if self.out.is_some() || !self.raw.has_ready() {
             return out;
         }
@@ -271,8 +271,8 @@
     }
 
     /// All that was to be saved is durable.
-    pub fn saved(&mut self) -> Out {
-        let mut out = Out::default();
+    pub fn saved(&mut self) -> Output {
+        let mut out = Output::default();
         let Some(mut ready) = self.out.take() else { return out };
         out.messages.extend(ready.take_persisted_messages().iter().map(Raft::from));
         let mut light = self.raw.advance(ready);
--- a/crates/agree/src/replica/store.rs
+++ b/crates/agree/src/replica/store.rs
@@ -6,7 +6,7 @@
 
 use crate::applied::Applied;
 
-/// The log of a seat. Clones share it.
+/// The log of a replica. Clones share it.
 #[derive(Clone)]
 pub struct Store(MemStorage);
 
--- a/crates/agree/src/wire.rs
+++ b/crates/agree/src/wire.rs
@@ -72,7 +72,7 @@
         /// The last start that was heard of.
         seen: u64,
     },
-    /// Do you hold a seat in a group?
+    /// Do you hold a voter slot in a group?
     Ask,
     /// Whether the sender does.
     Word {
