Call what is told of a member its status, not its tale

Cause: `Tale` was a word of our own for how a member fares. Change: `membership::Tale` is `Status` and `Record::tale` is `Record::status`; two tests and a strategy are named after records and check the same. Datagrams stay as they are: their form has no names.

--- a/crates/membership/src/broadcast.rs
+++ b/crates/membership/src/broadcast.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::record::{Name, Record, Tale};
+use crate::record::{Name, Record, Status};
 use crate::wire::{encode, Writer};
 
 /// A member, and its accuser where the broadcast is an accusation: broadcasts of one key take each other's place, and
@@ -23,8 +23,8 @@
     /// Begins to spread this; what was told of the member so far no longer is, unless it is the same accusation by
     /// somebody else.
     pub fn add(&mut self, record: &Record) {
-        let accuser = match &record.tale {
-            Tale::Suspect { by } => Some(by.clone()),
+        let accuser = match &record.status {
+            Status::Suspect { by } => Some(by.clone()),
             _ => None,
         };
         if accuser.is_none() {
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -42,7 +42,7 @@
 pub use config::{Identity, Nanos, Tuning, MEMBERS_MOST, MS};
 pub use machine::{Action, Event, Membership, HELD_UP};
 pub use peer::State;
-pub use record::{Name, Profile, Record, Tale, INCARNATION_MOST, WORD_MOST};
+pub use record::{Name, Profile, Record, Status, INCARNATION_MOST, WORD_MOST};
 pub use saved::{Keeping, Saved, ADDRESSES_MOST, SAVED_VERSION, SAVE_EVERY, START_WITHIN};
 pub use view::{Change, Confidence, Counts, Member, ZoneView};
 pub use wire::{encode, read, Body, Envelope, Fault, Window, Writer, DATAGRAM_MOST, VERSION};
--- a/crates/membership/src/machine/anti_entropy.rs
+++ b/crates/membership/src/machine/anti_entropy.rs
@@ -6,7 +6,7 @@
 
 use super::{Action, Membership};
 use crate::config::{Nanos, MS};
-use crate::record::{Name, Record, Tale};
+use crate::record::{Name, Record, Status};
 use crate::wire::{encode, Body, Fault};
 
 /// Buckets of a digest.
@@ -128,7 +128,7 @@
     fn records_to_reply(&self, name: &Name) -> Vec<Record> {
         let Some(peer) = self.peers.get(name) else { return Vec::new() };
         let mut records = peer.records(name, &self.me.name);
-        records.retain(|record| self.majority || !matches!(record.tale, Tale::Dead));
+        records.retain(|record| self.majority || !matches!(record.status, Status::Dead));
         records
     }
 }
--- a/crates/membership/src/machine/merging.rs
+++ b/crates/membership/src/machine/merging.rs
@@ -4,7 +4,7 @@
 use super::{Action, Membership};
 use crate::config::{Nanos, MEMBERS_MOST};
 use crate::peer::{Peer, State};
-use crate::record::{Name, Profile, Record, Tale};
+use crate::record::{Name, Profile, Record, Status};
 use crate::view::Change;
 use crate::wire::{Fault, Window};
 
@@ -22,11 +22,11 @@
 impl Membership {
     /// What this node says of itself.
     pub(super) fn own_record(&self) -> Record {
-        let tale = match self.lifecycle {
-            Lifecycle::Active => Tale::Alive(self.me.profile.clone()),
-            _ => Tale::Left,
+        let status = match self.lifecycle {
+            Lifecycle::Active => Status::Alive(self.me.profile.clone()),
+            _ => Status::Left,
         };
-        Record { name: self.me.name.clone(), incarnation: self.incarnation, run: self.me.run, tale }
+        Record { name: self.me.name.clone(), incarnation: self.incarnation, run: self.me.run, status }
     }
 
     /// Merges a record that `from` has told, or that this node has found out itself.
@@ -34,11 +34,11 @@
         if record.name == self.me.name {
             return self.merge_own(record, out);
         }
-        match &record.tale {
-            Tale::Alive(profile) => self.merge_alive(now, record, profile, out),
-            Tale::Suspect { by } => self.merge_suspect(now, record, by, out),
-            Tale::Dead => self.merge_dead(now, record, from, out),
-            Tale::Left => self.merge_left(now, record, out),
+        match &record.status {
+            Status::Alive(profile) => self.merge_alive(now, record, profile, out),
+            Status::Suspect { by } => self.merge_suspect(now, record, by, out),
+            Status::Dead => self.merge_dead(now, record, from, out),
+            Status::Left => self.merge_left(now, record, out),
         }
     }
 
@@ -126,7 +126,7 @@
         &mut self, record: &Record, was: Option<&'static str>, is: &'static str, out: &mut Vec<Action>,
     ) {
         self.invalidate_caches();
-        if !self.isolated || !matches!(record.tale, Tale::Dead) {
+        if !self.isolated || !matches!(record.status, Status::Dead) {
             self.broadcasts.add(record);
         }
         out.push(Action::Changed(Change::Member { name: record.name.clone(), was, is }));
--- a/crates/membership/src/machine/probing.rs
+++ b/crates/membership/src/machine/probing.rs
@@ -6,7 +6,7 @@
 use super::{Action, Membership};
 use crate::config::{Nanos, MS};
 use crate::peer::{Peer, State};
-use crate::record::{Name, Record, Tale};
+use crate::record::{Name, Record, Status};
 use crate::wire::{Body, Fault};
 
 /// Attempts of a probe: the first alone, the others with helpers.
@@ -156,9 +156,9 @@
             return;
         }
         let Some(peer) = self.peers.get(&probe.target).filter(|peer| peer.is_live()) else { return };
-        let tale = Tale::Suspect { by: self.me.name.clone() };
+        let status = Status::Suspect { by: self.me.name.clone() };
         let record =
-            Record { name: probe.target.clone(), incarnation: peer.incarnation, run: peer.run, tale };
+            Record { name: probe.target.clone(), incarnation: peer.incarnation, run: peer.run, status };
         self.counts.accused += 1;
         self.merge(now, &record, None, out);
     }
@@ -191,9 +191,9 @@
         }
         peer.state = State::Alive;
         peer.refuted(now);
-        let tale = Tale::Alive(peer.profile.clone());
+        let status = Status::Alive(peer.profile.clone());
         let record =
-            Record { name: probe.target.clone(), incarnation: peer.incarnation, run: peer.run, tale };
+            Record { name: probe.target.clone(), incarnation: peer.incarnation, run: peer.run, status };
         self.announce(&record, Some("dead"), "alive", out);
     }
 
--- a/crates/membership/src/machine/sending.rs
+++ b/crates/membership/src/machine/sending.rs
@@ -5,7 +5,7 @@
 
 use super::{Action, Membership};
 use crate::peer::State;
-use crate::record::{Name, Record, Tale};
+use crate::record::{Name, Record, Status};
 use crate::wire::{encode, Body, Envelope, Writer};
 
 impl Membership {
@@ -83,7 +83,7 @@
             return Vec::new();
         };
         let mut records = peer.records(name, &self.me.name);
-        records.retain(|record| !matches!(record.tale, Tale::Alive(_)));
+        records.retain(|record| !matches!(record.status, Status::Alive(_)));
         records
     }
 }
--- a/crates/membership/src/machine/suspicion.rs
+++ b/crates/membership/src/machine/suspicion.rs
@@ -6,7 +6,7 @@
 use crate::broadcast::BroadcastQueue;
 use crate::config::Nanos;
 use crate::peer::{Peer, State};
-use crate::record::{Name, Record, Tale};
+use crate::record::{Name, Record, Status};
 use crate::view::Change;
 use crate::wire::Body;
 
@@ -50,7 +50,7 @@
         let live = self.live_names().len();
         let Some(peer) = self.peers.get_mut(&record.name) else { return };
         let was = peer.state.name();
-        let accusation = Record { tale: Tale::Suspect { by: by.clone() }, ..record.clone() };
+        let accusation = Record { status: Status::Suspect { by: by.clone() }, ..record.clone() };
         (peer.incarnation, peer.run) = (record.incarnation, record.run);
         if let State::Suspect { accusers, .. } = &mut peer.state {
             if accusers.len() <= wanted && !accusers.contains(&by) {
@@ -122,7 +122,7 @@
         let Some(peer) = self.peers.get_mut(&name) else { return };
         self.suspects.remove(&name);
         peer.state = State::Dead { since: now, sure: self.majority };
-        let record = Record { name, incarnation: peer.incarnation, run: peer.run, tale: Tale::Dead };
+        let record = Record { name, incarnation: peer.incarnation, run: peer.run, status: Status::Dead };
         self.announce(&record, Some("suspect"), "dead", out);
     }
 
@@ -132,9 +132,9 @@
             return;
         }
         let is_other_start = record.run != self.me.run;
-        match &record.tale {
-            Tale::Alive(_) if !is_other_start || record.weight() <= self.own_record().weight() => return,
-            Tale::Alive(_) => {
+        match &record.status {
+            Status::Alive(_) if !is_other_start || record.weight() <= self.own_record().weight() => return,
+            Status::Alive(_) => {
                 // One start of this node before it, or another process with its name. Only a living one goes on
                 // answering with ever greater numbers.
                 self.name_conflicts += 1;
@@ -147,7 +147,7 @@
                 self.sender_missed_refutation = true;
                 return;
             }
-            Tale::Suspect { .. } | Tale::Dead if !is_other_start => {
+            Status::Suspect { .. } | Status::Dead if !is_other_start => {
                 self.raise_local_health(1);
                 self.counts.refuted += 1;
             }
--- a/crates/membership/src/peer.rs
+++ b/crates/membership/src/peer.rs
@@ -1,7 +1,7 @@
 //! What this node holds of one member.
 
 use crate::config::{Nanos, Tuning, MS};
-use crate::record::{Name, Profile, Record, Tale};
+use crate::record::{Name, Profile, Record, Status};
 use crate::wire::Window;
 
 const MIN_CALM: Nanos = 1_000 * MS; // after a first refutation
@@ -105,15 +105,16 @@
 
     /// What is told of it. Of a suspect first that it lives, so that who knew nothing learns where it is.
     pub fn records(&self, name: &Name, me: &Name) -> Vec<Record> {
-        let record = |tale| Record { name: name.clone(), incarnation: self.incarnation, run: self.run, tale };
+        let record =
+            |status| Record { name: name.clone(), incarnation: self.incarnation, run: self.run, status };
         match &self.state {
-            State::Alive => vec![record(Tale::Alive(self.profile.clone()))],
+            State::Alive => vec![record(Status::Alive(self.profile.clone()))],
             State::Suspect { accusers, .. } => {
                 let by = accusers.first().unwrap_or(me).clone();
-                vec![record(Tale::Alive(self.profile.clone())), record(Tale::Suspect { by })]
+                vec![record(Status::Alive(self.profile.clone())), record(Status::Suspect { by })]
             }
-            State::Dead { .. } => vec![record(Tale::Dead)],
-            State::Left { .. } => vec![record(Tale::Left)],
+            State::Dead { .. } => vec![record(Status::Dead)],
+            State::Left { .. } => vec![record(Status::Left)],
         }
     }
 
--- a/crates/membership/src/record.rs
+++ b/crates/membership/src/record.rs
@@ -1,4 +1,4 @@
-//! What nodes tell each other of a member, and which of two tales holds.
+//! What nodes tell each other of a member, and which of two records holds.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -31,7 +31,7 @@
 
 /// How a member fares.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Tale {
+pub enum Status {
     /// It is there.
     Alive(Profile),
     /// It did not answer this one.
@@ -45,19 +45,19 @@
     Left,
 }
 
-impl Tale {
-    /// Which of two tales of one incarnation holds: the greater.
+impl Status {
+    /// Which of two statuses of one incarnation holds: the greater.
     fn rank(&self) -> u8 {
         match self {
-            Tale::Alive(_) => 0,
-            Tale::Suspect { .. } => 1,
-            Tale::Dead => 2,
-            Tale::Left => 3,
+            Status::Alive(_) => 0,
+            Status::Suspect { .. } => 1,
+            Status::Dead => 2,
+            Status::Left => 3,
         }
     }
 }
 
-/// One tale of one member.
+/// What is told of one member.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// Of whom.
@@ -66,14 +66,14 @@
     pub incarnation: u64,
     /// Which start of the member this is about.
     pub run: u64,
-    /// What is told.
-    pub tale: Tale,
+    /// How it fares.
+    pub status: Status,
 }
 
 impl Record {
     /// What holds is the greatest: a total order, so records can be merged in any order and any number of times.
     pub fn weight(&self) -> (u64, u8, u64) {
-        (self.incarnation, self.tale.rank(), self.run)
+        (self.incarnation, self.status.rank(), self.run)
     }
 
     /// Whether no word in it is longer than allowed, and no number so high that its member could not contradict it.
@@ -81,13 +81,13 @@
         let fits = |word: &Name| !word.is_empty() && word.len() <= WORD_MOST;
         self.incarnation < INCARNATION_MOST
             && fits(&self.name)
-            && match &self.tale {
-                Tale::Alive(profile) => {
+            && match &self.status {
+                Status::Alive(profile) => {
                     let of_itself = [&profile.zone, &profile.machine, &profile.version];
                     of_itself.into_iter().all(fits) && profile.protocols.0 <= profile.protocols.1
                 }
-                Tale::Suspect { by } => fits(by),
-                Tale::Dead | Tale::Left => true,
+                Status::Suspect { by } => fits(by),
+                Status::Dead | Status::Left => true,
             }
     }
 }
--- a/crates/membership/tests/laws.rs
+++ b/crates/membership/tests/laws.rs
@@ -48,18 +48,18 @@
     writer.finish()
 }
 
-fn tales() -> impl Strategy<Value = Record> {
-    let tale = prop_oneof![
-        (1u16..4).prop_map(|n| Tale::Alive(profile(n))),
-        (0u8..3).prop_map(|by| Tale::Suspect { by: format!("by{by}").into() }),
-        Just(Tale::Dead),
-        Just(Tale::Left),
+fn records() -> impl Strategy<Value = Record> {
+    let status = prop_oneof![
+        (1u16..4).prop_map(|n| Status::Alive(profile(n))),
+        (0u8..3).prop_map(|by| Status::Suspect { by: format!("by{by}").into() }),
+        Just(Status::Dead),
+        Just(Status::Left),
     ];
-    (0u8..3, 1u64..5, 1u64..3, tale).prop_map(|(name, incarnation, run, tale)| Record {
+    (0u8..3, 1u64..5, 1u64..3, status).prop_map(|(name, incarnation, run, status)| Record {
         name: format!("n{name}").into(),
         incarnation,
         run,
-        tale,
+        status,
     })
 }
 
@@ -73,7 +73,7 @@
         let mut out = Vec::new();
         one.handle(0, Event::Datagram { from: address(2), bytes: &bytes }, &mut out);
         prop_assert!(out.is_empty());
-        let record = Record { name: "two".into(), incarnation: 1, run: 1, tale: Tale::Alive(profile(2)) };
+        let record = Record { name: "two".into(), incarnation: 1, run: 1, status: Status::Alive(profile(2)) };
         let mut good = datagram(&envelope("two", 1, Body::Gossip), &[record]);
         let at = at % good.len();
         good[at] ^= 1 << bit;
@@ -87,10 +87,10 @@
         prop_assert_eq!(one.members(0).len(), 2);
     }
 
-    /// What holds of a member never goes back, in whatever order tales come: its number does not fall, and once all
-    /// tales have come four times (a death first accuses), one more round of them changes nothing.
+    /// What holds of a member never goes back, in whatever order records come: its number does not fall, and once all
+    /// records have come four times (a death first accuses), one more round of them changes nothing.
     #[test]
-    fn tales_never_take_a_view_back(tales in prop::collection::vec(tales(), 1..40)) {
+    fn records_never_take_a_view_back(records in prop::collection::vec(records(), 1..40)) {
         let mut one = node("one", 1, 1);
         let (mut out, mut counter) = (Vec::new(), 0);
         let mut last = std::collections::BTreeMap::new();
@@ -98,9 +98,9 @@
             if round == 4 {
                 out.clear();
             }
-            for tale in &tales {
+            for record in &records {
                 counter += 1;
-                let bytes = datagram(&envelope("teller", counter, Body::Gossip), std::slice::from_ref(tale));
+                let bytes = datagram(&envelope("teller", counter, Body::Gossip), std::slice::from_ref(record));
                 one.handle(0, Event::Datagram { from: address(9), bytes: &bytes }, &mut out);
                 for member in one.members(0) {
                     let had = last.insert(member.name.clone(), member.incarnation).unwrap_or(0);
@@ -126,7 +126,7 @@
 
 #[test]
 fn what_is_foreign_own_misdirected_or_replayed_is_counted_and_has_no_effect() {
-    let alive = Record { name: "two".into(), incarnation: 1, run: 1, tale: Tale::Alive(profile(2)) };
+    let alive = Record { name: "two".into(), incarnation: 1, run: 1, status: Status::Alive(profile(2)) };
     let of = |change: fn(&mut Envelope)| {
         let mut envelope = envelope("two", 1, Body::Gossip);
         change(&mut envelope);
@@ -159,11 +159,11 @@
 
 /// Guards the contradiction: a number beyond which there is none is no number.
 #[test]
-fn a_number_that_could_not_be_contradicted_is_no_tale() {
+fn a_number_that_could_not_be_contradicted_is_refused() {
     for (incarnation, heeded) in [(u64::MAX, false), (INCARNATION_MOST, false), (INCARNATION_MOST - 1, true)]
     {
         let (mut one, mut out) = (node("one", 1, 1), Vec::new());
-        let dead = Record { name: "one".into(), incarnation, run: 1, tale: Tale::Dead };
+        let dead = Record { name: "one".into(), incarnation, run: 1, status: Status::Dead };
         let bytes = datagram(&envelope("two", 1, Body::Gossip), &[dead]);
         one.handle(0, Event::Datagram { from: address(2), bytes: &bytes }, &mut out);
         let expected = if heeded { INCARNATION_MOST } else { 1 };
@@ -188,7 +188,7 @@
     let (mut one, mut out) = (node("one", 1, 1), Vec::new());
     for n in 0..MEMBERS_MOST as u64 + 10 {
         let name = format!("n{n}").into();
-        let record = Record { name, incarnation: 1, run: 1, tale: Tale::Alive(profile(2)) };
+        let record = Record { name, incarnation: 1, run: 1, status: Status::Alive(profile(2)) };
         let bytes = datagram(&envelope("teller", n + 1, Body::Gossip), &[record]);
         one.handle(n * MS, Event::Datagram { from: address(2), bytes: &bytes }, &mut out);
     }
--- a/crates/membership/tests/memory.rs
+++ b/crates/membership/tests/memory.rs
@@ -35,7 +35,7 @@
     for n in 1..MEMBERS_MOST {
         now += MS;
         let name: Name = format!("guide-node-{n:05}").into();
-        let record = Record { name, incarnation: 1, run: 1 << 32, tale: Tale::Alive(profile(n)) };
+        let record = Record { name, incarnation: 1, run: 1 << 32, status: Status::Alive(profile(n)) };
         let envelope = Envelope {
             cluster,
             from: "teller".into(),
--- a/crates/trial/src/doubles.rs
+++ b/crates/trial/src/doubles.rs
@@ -1,7 +1,7 @@
 //! Nodes with one defect each, by which the laws are shown to catch something. They are the product's machine behind
 //! a filter: the product itself has no switch for them.
 
-use merlinfold_membership::{encode, read, Name, Record, Tale, Tuning, Writer};
+use merlinfold_membership::{encode, read, Name, Record, Status, Tuning, Writer};
 
 /// What a double does wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,7 +40,7 @@
             return bytes;
         };
         let keeps = |record: &Record| match self {
-            Double::Trusting => !matches!(record.tale, Tale::Suspect { .. } | Tale::Dead),
+            Double::Trusting => !matches!(record.status, Status::Suspect { .. } | Status::Dead),
             Double::Silent => record.name != *me,
             Double::Merging | Double::Unsynced => true,
         };
