--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -27,28 +27,28 @@
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
 
-use crate::body::{gather, Broken, Budget, Gathered, Held, Relay, Upload, Waited};
+use crate::body::{gather, Broken, Budget, Gathered, Held, Upload, Waited};
+use crate::capacity::Capacity;
 use crate::clock::Clock;
 use crate::head::Asked;
 use crate::input::{Arrival, Input, Reply};
 use crate::lifecycle::Posture;
 use crate::line::{Line, Why};
-use crate::room::Room;
 use crate::stream::{Heard, Shared};
-use crate::upstream::{AnswerBody, Outgoing, Payload};
+use crate::upstream::{AnswerBody, Outgoing, Payload, Relay};
 use merlinfold_decide::interface::{Nanos, RequestId, Settings};
 use merlinfold_settings::{Names, Numbering};
 
 mod answer;
-mod door;
-mod pulse;
+mod listener;
+mod stall;
 mod tally;
 mod under_way;
 
 use answer::*;
-pub use door::Door;
-use door::BACKLOG;
-use pulse::Pulse;
+pub use listener::ClientListener;
+use listener::BACKLOG;
+use stall::StallDetector;
 use tally::{count, Tally};
 use under_way::{UnderWay, Waiting};
 
@@ -65,14 +65,14 @@
 const LINGER: Duration = Duration::from_secs(1);
 const LINGER_FULL: Duration = Duration::from_millis(100); // the same while others wait for the slot
 const REST: Duration = Duration::from_millis(20); // between looks whether a request that has begun to come is there
-const HEAD_MOST: usize = 16 << 10; // bytes buffered of a request: all slots together must fit in memory
+const MAX_HEAD: usize = 16 << 10; // bytes buffered of a request: all slots together must fit in memory
 const SPARE: usize = 32; // connections short of the most at which they are closed after their answer
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10); // after a failed accept, so as not to spin
 const SETTLE: Duration = Duration::from_millis(20); // until a connection is sure to have been looked at
 
 const REPORT_EVERY: Duration = Duration::from_secs(5); // between log lines on the clients' connections
 
-const PULSE: Duration = Duration::from_millis(10); // between the beats that show a hold-up
+const HEARTBEAT_EVERY: Duration = Duration::from_millis(10);
 
 /// What the tasks of all client connections share.
 pub struct Front {
@@ -80,17 +80,17 @@
     tenants: Numbering,
     deadlines: Vec<Nanos>,
     posture: watch::Receiver<Posture>,
-    room: Room,
+    capacity: Capacity,
     clock: Clock,
     inputs: UnboundedSender<Input>,
     next: AtomicU64,
-    pulse: Pulse,
+    stalls: StallDetector,
     tally: Tally,
 }
 
 impl Front {
     pub fn new(
-        settings: &Settings, names: &Names, clock: Clock, inputs: UnboundedSender<Input>, room: Room,
+        settings: &Settings, names: &Names, clock: Clock, inputs: UnboundedSender<Input>, capacity: Capacity,
         posture: watch::Receiver<Posture>,
     ) -> Self {
         Front {
@@ -98,34 +98,34 @@
             tenants: names.tenants.clone(),
             deadlines: settings.classes.iter().map(|class| class.deadline).collect(),
             posture,
-            room,
+            capacity,
             clock,
             inputs,
             next: AtomicU64::new(0),
-            pulse: Pulse::new(clock.now()),
+            stalls: StallDetector::new(clock.now()),
             tally: Tally::default(),
         }
     }
 
     /// Accepts for as long as the posture says, and returns when all connections have ended.
-    pub async fn serve(self: Arc<Self>, door: Door) {
+    pub async fn serve(self: Arc<Self>, listener: ClientListener) {
         let (close, closing) = watch::channel(false);
         let front = self.clone();
         tokio::spawn(async move {
             let mut reported = Instant::now();
             loop {
-                sleep(PULSE).await;
-                front.pulse.beat(front.clock.now());
+                sleep(HEARTBEAT_EVERY).await;
+                front.stalls.heartbeat(front.clock.now());
                 if reported.elapsed() >= REPORT_EVERY {
                     reported = Instant::now();
-                    front.tally.report(front.room.clients.held(), front.room.clients.most());
+                    front.tally.report(front.capacity.clients.held(), front.capacity.clients.most());
                 }
             }
         });
         let mut posture = self.posture.clone();
-        let listener = match door {
-            Door::Open(listener) => Ok(listener),
-            Door::Shut(socket) => {
+        let listener = match listener {
+            ClientListener::Listening(listener) => Ok(listener),
+            ClientListener::Bound(socket) => {
                 let _ = posture.wait_for(|posture| posture.opens || !posture.accepts).await;
                 socket.listen(BACKLOG)
             }
@@ -156,7 +156,7 @@
         close.send_replace(true);
         let ends_at = self.posture.borrow().ends_at.unwrap_or(self.clock.now());
         let all_gone = async {
-            while self.room.clients.held() > 0 {
+            while self.capacity.clients.held() > 0 {
                 sleep(SETTLE).await;
             }
         };
@@ -166,13 +166,13 @@
     }
 
     async fn accept(self: &Arc<Self>, listener: &TcpListener, closing: &watch::Receiver<bool>) {
-        if self.room.clients.free() == 0 {
+        if self.capacity.clients.free() == 0 {
             count(&self.tally.full);
         }
-        while !self.room.clients.settle() {
+        while !self.capacity.clients.settle() {
             sleep(ACCEPT_PAUSE).await; // what is given back is for the process beside this one
         }
-        let slot = self.room.clients.take().await;
+        let slot = self.capacity.clients.take().await;
         match listener.accept().await {
             Ok((stream, _)) => self.take(stream, slot, closing),
             Err(error) => {
@@ -192,7 +192,7 @@
             tokio::spawn(async move {
                 front.connection(Shared(stream.clone()), Some(stream.clone()), closing).await;
                 let _ = SockRef::from(&*stream).shutdown(Shutdown::Write); // an error: it has ended already
-                let linger = if front.room.clients.free() == 0 { LINGER_FULL } else { LINGER };
+                let linger = if front.capacity.clients.free() == 0 { LINGER_FULL } else { LINGER };
                 let _ = timeout(linger, read_empty(&stream)).await;
                 drop(slot);
             });
@@ -204,7 +204,7 @@
     async fn leave(self: &Arc<Self>, listener: TcpListener, closing: &watch::Receiver<bool>) {
         let Ok(listener) = listener.into_std() else { return };
         loop {
-            let slot = self.room.clients.take().await;
+            let slot = self.capacity.clients.take().await;
             match listener.accept().map(|(stream, _)| stream) {
                 Ok(stream) => {
                     let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
@@ -248,7 +248,7 @@
             .timer(TokioTimer::new())
             .keep_alive(keeps)
             .header_read_timeout(None)
-            .max_buf_size(HEAD_MOST)
+            .max_buf_size(MAX_HEAD)
             .serve_connection(TokioIo::new(Heard::new(stream, line.clone(), origin)), service);
         tokio::pin!(connection);
         tokio::select! {
@@ -276,7 +276,7 @@
 
     /// Whether there is little room for further clients.
     fn short(&self) -> bool {
-        self.room.clients.free() < SPARE
+        self.capacity.clients.free() < SPARE
     }
 
     /// Counts a connection that is closed in the middle of something.
@@ -320,7 +320,7 @@
         &self, request: Request<Incoming>, under_way: &UnderWay, first: Option<Instant>,
     ) -> Result<Response<Outgo>, StatusCode> {
         let line = &*under_way.line;
-        let arrived = self.pulse.arrival(self.clock.now());
+        let arrived = self.stalls.arrival(self.clock.now());
         let (head, mut body) = request.into_parts();
         if head.uri.path() == "/health/ready" && matches!(head.method, Method::GET | Method::HEAD) {
             let mut response = Response::new(Outgo::nothing());
@@ -345,15 +345,16 @@
         };
         let next =
             |came: usize| (patient + Duration::from_secs_f64(came as f64 / BODY_RATE), Waited::TooLong);
-        let gathered = gather(&mut body, &Budget(self.room.bodies.clone()), next).await.map_err(
-            |broken| match broken {
-                Broken::Late => StatusCode::REQUEST_TIMEOUT,
-                Broken::Off => StatusCode::BAD_REQUEST,
-            },
-        )?;
+        let gathered =
+            gather(&mut body, &Budget(self.capacity.bodies.clone()), next).await.map_err(|broken| {
+                match broken {
+                    Broken::Late => StatusCode::REQUEST_TIMEOUT,
+                    Broken::Off => StatusCode::BAD_REQUEST,
+                }
+            })?;
         line.read();
         // Its time counts from its last byte; that of a long one, which is still to come, from when it does.
-        let arrived = if bodiless { arrived } else { self.pulse.arrival(self.clock.now()) };
+        let arrived = if bodiless { arrived } else { self.stalls.arrival(self.clock.now()) };
         let deadline = self.deadlines[class];
         let expires = arrived + remaining.unwrap_or(deadline).min(deadline);
         let expires = self.posture.borrow().answers_by.map_or(expires, |by| expires.min(by));
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -5,7 +5,7 @@
 pub(super) const IDLE_SHARE: f64 = 0.8; // of a server's idle timeout, after which a connection is not used again
 
 /// For a connection that its attempt has given up: a lost SYN is sent again after 1 s, the next after 2 s more.
-pub(super) const LATE_MOST: Duration = Duration::from_secs(2);
+pub(super) const MAX_LATE_CONNECT: Duration = Duration::from_secs(2);
 
 pub(super) const LATE_PART: usize = 4; // one slot in so many is left free by connections that nobody waits for
 
@@ -49,15 +49,15 @@
     }
 
     /// Lets a connection that nobody waits for any more come up for the next one, for a while: opening another costs
-    /// its server the same again.
-    pub fn await_late(&mut self, to: ServerId, opening: Opening, inputs: UnboundedSender<Input>) {
+    /// its server the same again. It is handed to `opened`, and closed where that drops it.
+    pub fn await_late(&mut self, opening: Opening, opened: impl FnOnce(Connection) + Send + 'static) {
         self.late.retain(|late| !late.0.is_finished());
         if self.slots.free() * LATE_PART < self.slots.most() {
             return;
         }
         let task = tokio::spawn(async move {
-            if let Ok(Ok(connection)) = timeout(LATE_MOST, opening).await {
-                let _ = inputs.send(Input::Opened { server: to, connection }); // closed if nobody is left
+            if let Ok(Ok(connection)) = timeout(MAX_LATE_CONNECT, opening).await {
+                opened(connection);
             }
         });
         self.late.push_back(AbortOnDrop(task.abort_handle()));
