Measure a data plane by servers, services and tenants, with fits and forecasts

Need: what a decision, a list and a change in it cost was known at one service, at sizes up to 16,384 servers and without tenants; 820 nodes are to stand before 7,900 servers in 270 services with 30,000 tenants.

Change: merlinfold-lab capacity module, list and tenants measure processor time and memory over ranges of sizes, each point in processes of its own, fit the smaller sizes (ln n, n, n ln n or a constant) and hold the forecast against the largest. capacity connections plays the module in virtual time and counts how often a request has to open a connection. The node's reader of lists is public, so that it is the one that is measured.

--- /dev/null
+++ b/crates/lab/src/capacity/ranges.rs
@@ -0,0 +1,191 @@
+//! Ranges of sizes, each point measured in processes of its own.
+
+use std::process::Command;
+
+use super::fit::{Check, Sample};
+use super::fleet::Size;
+use super::point::{median, Point};
+use super::report::{Report, Series, SCHEMA};
+
+/// What a range varies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Axis {
+    /// Servers in the list.
+    Servers,
+    /// Services, each with servers of its own.
+    Services,
+    /// Tenants.
+    Tenants,
+}
+
+impl Axis {
+    fn name(self) -> &'static str {
+        match self {
+            Axis::Servers => "servers",
+            Axis::Services => "services",
+            Axis::Tenants => "tenants",
+        }
+    }
+
+    fn of(self, size: Size) -> u32 {
+        match self {
+            Axis::Servers => size.servers,
+            Axis::Services => size.services,
+            Axis::Tenants => size.tenants,
+        }
+    }
+
+    fn set(self, size: Size, to: u32) -> Size {
+        match self {
+            Axis::Servers => Size { servers: to, ..size },
+            Axis::Services => Size { services: to, ..size },
+            Axis::Tenants => Size { tenants: to, ..size },
+        }
+    }
+}
+
+/// One measured figure.
+pub type Figure = (&'static str, fn(&Point) -> f64);
+
+/// A range of sizes, with the figures that are fitted.
+pub struct Range {
+    axis: Axis,
+    held: Size,
+    sizes: &'static [u32],
+    figures: &'static [Figure],
+}
+
+const SERVERS: &[u32] = &[200, 500, 1_000, 2_000, 4_000, 8_000];
+/// Fewer would leave some of 270 services without any.
+const SERVERS_OF_MANY: &[u32] = &[500, 1_000, 2_000, 4_000, 8_000];
+const SERVICES: &[u32] = &[1, 30, 90, 180, 270];
+const TENANTS: &[u32] = &[10, 100, 1_000, 10_000, 30_000];
+
+const MODULE: &[Figure] = &[
+    ("decision us", |point| point.decision_us),
+    ("tick us", |point| point.tick_us),
+    ("module MB", |point| point.module_mb),
+];
+const LIST: &[Figure] = &[
+    ("first list ms", |point| point.first_list_ms),
+    ("whole list ms", |point| point.whole_list_ms),
+    ("change us", |point| point.change_us),
+    ("parse ms", |point| point.parse_ms),
+    ("names ms", |point| point.names_ms),
+    ("list bytes", |point| point.list_bytes),
+    ("lines MB", |point| point.lines_mb),
+];
+const SETTINGS: &[Figure] = &[
+    ("decision us", |point| point.decision_us),
+    ("settings ms", |point| point.settings_ms),
+    ("settings bytes", |point| point.settings_bytes),
+    ("module MB", |point| point.module_mb),
+];
+
+const BASE: Size = Size { nodes: 820, servers: 1_000, services: 1, tenants: 0, rate: 110.0 };
+
+fn by_servers_and_services(figures: &'static [Figure]) -> Vec<Range> {
+    let range = |axis, held, sizes| Range { axis, held, sizes, figures };
+    vec![
+        range(Axis::Servers, BASE, SERVERS),
+        range(Axis::Servers, Size { services: 270, ..BASE }, SERVERS_OF_MANY),
+        range(Axis::Services, BASE, SERVICES),
+        range(Axis::Services, Size { servers: 8_000, ..BASE }, SERVICES),
+    ]
+}
+
+/// A decision, housekeeping and memory by servers and services.
+pub fn module() -> Vec<Range> {
+    by_servers_and_services(MODULE)
+}
+
+/// A list and a change of it by servers and services.
+pub fn list() -> Vec<Range> {
+    by_servers_and_services(LIST)
+}
+
+/// A decision and the settings by tenants.
+pub fn tenants() -> Vec<Range> {
+    let range = |servers| Range {
+        axis: Axis::Tenants,
+        held: Size { servers, ..BASE },
+        sizes: TENANTS,
+        figures: SETTINGS,
+    };
+    vec![range(200), range(8_000)]
+}
+
+/// Measures the ranges, each point so many times.
+pub fn measure(name: &str, ranges: Vec<Range>, repeats: usize) -> Result<Report, String> {
+    let mut report = Report {
+        schema: SCHEMA,
+        command: format!("merlinfold-lab capacity {name} --repeats {repeats}"),
+        repeats,
+        points: Vec::new(),
+        series: Vec::new(),
+    };
+    for range in ranges {
+        let sizes: Vec<Size> = range.sizes.iter().map(|&to| range.axis.set(range.held, to)).collect();
+        let points = measure_sizes(&sizes, repeats)?;
+        report.series.extend(range.figures.iter().map(|figure| series(&range, &points, figure)));
+        report.points.extend(points);
+    }
+    Ok(report)
+}
+
+/// Round after round over all sizes: a machine that is slow for a while is so for all of them.
+fn measure_sizes(sizes: &[Size], repeats: usize) -> Result<Vec<Point>, String> {
+    let mut measured = vec![Vec::new(); sizes.len()];
+    for _ in 0..repeats.max(1) {
+        for (size, of_size) in sizes.iter().zip(&mut measured) {
+            of_size.push(in_a_process(*size)?);
+        }
+    }
+    Ok(sizes.iter().zip(&measured).map(|(size, of_size)| middle(*size, of_size)).collect())
+}
+
+fn series(range: &Range, points: &[Point], (figure, of): &Figure) -> Series {
+    let sizes = range.sizes.iter().zip(points);
+    let samples: Vec<Sample> =
+        sizes.map(|(&size, point)| Sample { size: f64::from(size), value: of(point) }).collect();
+    let held = [Axis::Servers, Axis::Services, Axis::Tenants].into_iter().filter(|axis| *axis != range.axis);
+    let held = held.map(|axis| format!("{} {}", axis.of(range.held), axis.name()));
+    Series {
+        figure: (*figure).to_owned(),
+        by: range.axis.name().to_owned(),
+        held: held.collect::<Vec<_>>().join(", "),
+        check: Check::of(&samples),
+        samples,
+    }
+}
+
+/// The medians of what processes of their own have measured at this size.
+fn middle(size: Size, measured: &[Point]) -> Point {
+    let middle = |of: fn(&Point) -> f64| median(measured.iter().map(of).collect());
+    Point {
+        size,
+        decision_us: middle(|point| point.decision_us),
+        tick_us: middle(|point| point.tick_us),
+        first_list_ms: middle(|point| point.first_list_ms),
+        whole_list_ms: middle(|point| point.whole_list_ms),
+        change_us: middle(|point| point.change_us),
+        parse_ms: middle(|point| point.parse_ms),
+        names_ms: middle(|point| point.names_ms),
+        list_bytes: middle(|point| point.list_bytes),
+        settings_ms: middle(|point| point.settings_ms),
+        settings_bytes: middle(|point| point.settings_bytes),
+        module_mb: middle(|point| point.module_mb),
+        lines_mb: middle(|point| point.lines_mb),
+    }
+}
+
+fn in_a_process(size: Size) -> Result<Point, String> {
+    let own = std::env::current_exe().map_err(|error| format!("cannot name this program: {error}"))?;
+    let mut command = Command::new(own);
+    command.args(["capacity", "point"]).args(size.arguments());
+    let ended = command.output().map_err(|error| format!("cannot measure a point: {error}"))?;
+    if !ended.status.success() {
+        return Err(format!("a point failed: {}", String::from_utf8_lossy(&ended.stderr)));
+    }
+    serde_json::from_slice(&ended.stdout).map_err(|error| format!("a point says no figures: {error}"))
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 //! It does not show what a network of many machines does: all parties share this machine's cores and its
 //! loopback. It measures its own lateness and calls a run void that it could not keep time for.
 
+pub mod capacity;
 pub mod closed;
 pub mod compare;
 pub mod experiments;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,7 +9,7 @@
 use merlinfold_lab::compare::paired;
 use merlinfold_lab::play::{play, Plan, Played};
 use merlinfold_lab::process::NodeCommand;
-use merlinfold_lab::{experiments, html, sim, trial};
+use merlinfold_lab::{capacity, experiments, html, sim, trial};
 use merlinfold_world::experiment::Experiment;
 use tokio::signal::unix::{signal, SignalKind};
 
@@ -85,6 +85,11 @@
         #[command(subcommand)]
         command: trial::command::Command,
     },
+    /// Measure what a node's data plane costs by the size of the fleet, with fits and their forecasts.
+    Capacity {
+        #[command(subcommand)]
+        command: capacity::command::Command,
+    },
     /// Let clients ask again as soon as they are answered or refused, beside a bare forwarder.
     Closed(merlinfold_lab::closed::Closed),
     /// List the kept experiments and what they ask.
@@ -127,6 +132,7 @@
                 experiments::find(name).map(|day| println!("{name:<30} {}", day.question))
             })
             .map(|()| ExitCode::SUCCESS),
+        Command::Capacity { command } => capacity::command::carry_out(command),
         other => runtime().and_then(|runtime| runtime.block_on(until_ended(other))),
     };
     ended.unwrap_or_else(|fault| {
@@ -201,7 +207,7 @@
         }
         Command::Closed(closed) => merlinfold_lab::closed::run(&closed).await,
         Command::Trial { command } => trial::command::carry_out(command).await,
-        Command::List | Command::Node { .. } => Ok(ExitCode::SUCCESS),
+        Command::List | Command::Node { .. } | Command::Capacity { .. } => Ok(ExitCode::SUCCESS),
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,7 +12,7 @@
 mod input;
 mod lifecycle;
 mod line;
-mod list;
+pub mod list;
 mod peers;
 pub mod process;
 mod room;
