--- a/crates/fleet/src/log/handle.rs
+++ b/crates/fleet/src/log/handle.rs
@@ -31,6 +31,12 @@
     pub voters: Vec<String>,
     /// What nothing is applied behind, if so: an entry that this version does not know.
     pub halted: Option<String>,
+    /// Datagrams of the log that this process has sent.
+    #[serde(default)]
+    pub sent: u64,
+    /// Their bytes.
+    #[serde(default)]
+    pub sent_bytes: u64,
     /// The agreed values, with their revisions.
     pub values: BTreeMap<String, (u64, String)>,
 }
@@ -83,6 +89,11 @@
         self.seen.borrow().clone()
     }
 
+    /// Reads the view as of now without copying it; the log tells nothing new until `read` returns.
+    pub fn look(&self, read: impl FnOnce(&LogView)) {
+        read(&self.seen.borrow());
+    }
+
     /// Sets an agreed value, where it stands at the expected revision if one is given; returns its new revision. The
     /// same id takes effect once.
     pub async fn set(
--- a/crates/fleet/src/log/part.rs
+++ b/crates/fleet/src/log/part.rs
@@ -35,6 +35,8 @@
     halted: Option<String>,
     changed: bool,
     to_send: Vec<(SocketAddr, Vec<u8>)>,
+    sent: u64,
+    sent_bytes: u64,
 }
 
 impl LogPart {
@@ -73,6 +75,8 @@
             halted: None,
             changed: true,
             to_send: Vec::new(),
+            sent: 0,
+            sent_bytes: 0,
         };
         part.carry(out);
         part
@@ -133,6 +137,8 @@
 
     /// Datagrams that are to go out.
     pub fn outgoing(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
+        self.sent += self.to_send.len() as u64;
+        self.sent_bytes += self.to_send.iter().map(|(_, bytes)| bytes.len() as u64).sum::<u64>();
         std::mem::take(&mut self.to_send)
     }
 
@@ -216,6 +222,8 @@
             leads: standing.leads,
             voters: standing.voters.into_values().collect(),
             halted: self.halted.clone(),
+            sent: self.sent,
+            sent_bytes: self.sent_bytes,
             values: values
                 .map(|(key, value)| (key.to_owned(), (value.revision, text(&value.value))))
                 .collect(),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod platform;
 pub mod play;
 pub mod process;
+pub mod scale;
 mod servers;
 pub mod sim;
 mod time;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,7 +9,7 @@
 use merlinfold_lab::compare::paired;
 use merlinfold_lab::play::{play, Plan, Played};
 use merlinfold_lab::process::NodeCommand;
-use merlinfold_lab::{experiments, html, sim, trial};
+use merlinfold_lab::{experiments, html, scale, sim, trial};
 use merlinfold_world::experiment::Experiment;
 use tokio::signal::unix::{signal, SignalKind};
 
@@ -85,6 +85,11 @@
         #[command(subcommand)]
         command: trial::command::Command,
     },
+    /// Measure what each control role costs by the size of the fleet.
+    Scale {
+        #[command(subcommand)]
+        command: scale::command::Command,
+    },
     /// Let clients ask again as soon as they are answered or refused, beside a bare forwarder.
     Closed(merlinfold_lab::closed::Closed),
     /// List the kept experiments and what they ask.
@@ -200,6 +205,7 @@
             cost([command(common.node.as_deref())?, bare], "node", "forwarder", pairs).await
         }
         Command::Closed(closed) => merlinfold_lab::closed::run(&closed).await,
+        Command::Scale { command } => scale::command::carry_out(command).await,
         Command::Trial { command } => trial::command::carry_out(command).await,
         Command::List | Command::Node { .. } => Ok(ExitCode::SUCCESS),
     }
--- a/crates/lab/src/net.rs
+++ b/crates/lab/src/net.rs
@@ -28,6 +28,11 @@
         Err("no range of loopback addresses is free: end other runs of the lab first".to_owned())
     }
 
+    /// The second number of its addresses.
+    pub fn number(&self) -> u8 {
+        self.x
+    }
+
     fn at(&self, node: usize, host: u8, port: u16) -> SocketAddr {
         SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, self.x, node as u8 + 1, host)), port)
     }
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -81,6 +81,11 @@
         Ok(Process { child, id, log, most: Usage::default() })
     }
 
+    /// Its number.
+    pub fn id(&self) -> u32 {
+        self.id
+    }
+
     /// Sends SIGTERM, or SIGKILL.
     pub fn signal(&self, kill: bool) {
         self.send(if kill { Signal::KILL } else { Signal::TERM });
--- /dev/null
+++ b/crates/lab/src/scale/hollow.rs
@@ -0,0 +1,245 @@
+//! A process of hollow nodes: the real control part (`merlinfold_fleet`) of many nodes on one thread, without a data
+//! plane. It takes [`Order`]s on standard input, ends with it, and tells a [`Sample`] on standard output every
+//! [`SAMPLE_EVERY`].
+
+use std::collections::BTreeMap;
+use std::future::{poll_fn, Future};
+use std::io::Write;
+use std::pin::pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use merlinfold_config::{parse, Config};
+use merlinfold_fleet::{Fleet, LogHandle, Snapshot};
+use merlinfold_world::Nanos;
+use tokio::sync::{mpsc, watch};
+use tokio::task::AbortHandle;
+use tokio::time::{interval, sleep, Instant, MissedTickBehavior};
+
+use super::messages::{FleetPlan, NodeSample, Order, Proposals, Sample};
+use super::resources::{anonymous_memory_kib, monotonic, thread_cpu};
+
+/// Time between two samples.
+pub const SAMPLE_EVERY: Duration = Duration::from_millis(250);
+const VALUE_BYTES: usize = 64; // of a proposed value
+
+/// Processor time that is added up over many polls.
+#[derive(Clone, Debug, Default)]
+struct Meter(Arc<AtomicU64>);
+
+impl Meter {
+    /// Runs the future and counts the thread's processor time in it.
+    async fn count<F: Future>(self, future: F) -> F::Output {
+        let mut future = pin!(future);
+        poll_fn(|context| {
+            let before = thread_cpu();
+            let polled = future.as_mut().poll(context);
+            self.0.fetch_add(thread_cpu() - before, Ordering::Relaxed);
+            polled
+        })
+        .await
+    }
+
+    fn used(&self) -> Nanos {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// A hollow node that runs.
+struct Running {
+    task: AbortHandle,
+    seen: watch::Receiver<Snapshot>,
+    log: Option<LogHandle>,
+    _leave: watch::Sender<bool>, // its drop would tell the node to leave
+}
+
+/// A hollow node over all its starts.
+#[derive(Default)]
+struct Hosted {
+    meter: Meter,
+    before: NodeSample, // counts of starts that have ended
+    running: Option<Running>,
+}
+
+impl Hosted {
+    fn sample(&self, node: usize) -> NodeSample {
+        let mut sample = NodeSample { node, cpu: self.meter.used(), ..self.before.clone() };
+        let Some(running) = &self.running else { return sample };
+        {
+            let seen = running.seen.borrow();
+            let count = |name: &str| seen.counts.get(name).copied().unwrap_or(0);
+            (sample.alive, sample.known) = (seen.alive, seen.known);
+            sample.messages += count("sent");
+            sample.bytes += count("sent_bytes");
+            sample.accused += count("accused");
+            sample.held_up += count("held_up");
+        }
+        if let Some(log) = &running.log {
+            log.look(|view| {
+                sample.log_messages += view.sent;
+                sample.log_bytes += view.sent_bytes;
+                (sample.log_index, sample.log_values) = (view.index, view.values.len());
+                (sample.votes, sample.leads) = (view.votes, view.leads);
+            });
+        }
+        sample
+    }
+
+    fn kill(&mut self, node: usize) {
+        let last = self.sample(node);
+        let Some(running) = self.running.take() else { return };
+        running.task.abort();
+        let NodeSample { messages, bytes, log_messages, log_bytes, accused, held_up, .. } = last;
+        self.before = NodeSample {
+            messages,
+            bytes,
+            log_messages,
+            log_bytes,
+            accused,
+            held_up,
+            ..NodeSample::default()
+        };
+    }
+}
+
+/// What has been measured since the last sample.
+#[derive(Default)]
+struct Since {
+    confirmed: Vec<Nanos>,
+    unconfirmed: u64,
+}
+
+type Shared = Arc<Mutex<Since>>;
+
+fn lock(shared: &Shared) -> std::sync::MutexGuard<'_, Since> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+struct Host {
+    plan: Option<FleetPlan>,
+    nodes: BTreeMap<usize, Hosted>,
+    measuring: Meter,
+    since: Shared,
+    empty_memory_kib: u64,
+}
+
+/// Hosts hollow nodes until standard input ends.
+pub async fn run() -> Result<(), String> {
+    let mut orders = read_lines::<Order>();
+    let mut host = Host {
+        plan: None,
+        nodes: BTreeMap::new(),
+        measuring: Meter::default(),
+        since: Shared::default(),
+        empty_memory_kib: anonymous_memory_kib("self").unwrap_or(0),
+    };
+    let mut samples = interval(SAMPLE_EVERY);
+    samples.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            order = orders.recv() => match order {
+                Some(order) => host.carry_out(order?)?,
+                None => return Ok(()),
+            },
+            due = samples.tick() => {
+                let (measuring, lateness) = (host.measuring.clone(), due.elapsed());
+                measuring.count(async { host.tell(lateness) }).await?;
+            }
+        }
+    }
+}
+
+/// Lines of standard input, read on a thread of their own.
+pub fn read_lines<T: serde::de::DeserializeOwned + Send + 'static>(
+) -> mpsc::UnboundedReceiver<Result<T, String>> {
+    let (tell, told) = mpsc::unbounded_channel();
+    std::thread::spawn(move || {
+        for line in std::io::stdin().lines() {
+            let read = line.map_err(|error| format!("standard input: {error}"));
+            let order =
+                read.and_then(|line| serde_json::from_str(&line).map_err(|error| format!("order: {error}")));
+            if tell.send(order).is_err() {
+                return;
+            }
+        }
+    });
+    told
+}
+
+impl Host {
+    fn carry_out(&mut self, order: Order) -> Result<(), String> {
+        match order {
+            Order::SetUp(plan) => self.plan = Some(plan),
+            Order::Start(nodes) => nodes.into_iter().try_for_each(|node| self.start(node))?,
+            Order::Kill(nodes) => {
+                for node in nodes {
+                    if let Some(hosted) = self.nodes.get_mut(&node) {
+                        hosted.kill(node);
+                    }
+                }
+            }
+            Order::Propose(proposals) => self.propose(proposals),
+        }
+        Ok(())
+    }
+
+    fn start(&mut self, node: usize) -> Result<(), String> {
+        let plan = self.plan.as_ref().ok_or("a node is started before the fleet is set up")?;
+        let config: Config = parse(&plan.table(node)).map_err(|fault| fault.to_string())?;
+        let settings = config.fleet.ok_or("no fleet in the table of a node")?;
+        let opened = Fleet::open(&format!("n{node}"), settings);
+        let (fleet, seen) = opened.map_err(|error| format!("node {node}: {error}"))?;
+        let log = fleet.log();
+        let (leave, leaves) = watch::channel(false);
+        let hosted = self.nodes.entry(node).or_default();
+        let task = tokio::spawn(hosted.meter.clone().count(fleet.run(leaves))).abort_handle();
+        hosted.running = Some(Running { task, seen, log, _leave: leave });
+        Ok(())
+    }
+
+    fn propose(&mut self, proposals: Proposals) {
+        let log = self.nodes.get(&proposals.node).and_then(|hosted| hosted.running.as_ref()?.log.clone());
+        if let Some(log) = log {
+            let proposing = propose(log, proposals, self.since.clone(), self.measuring.clone());
+            tokio::spawn(self.measuring.clone().count(proposing));
+        }
+    }
+
+    fn tell(&mut self, lateness: Duration) -> Result<(), String> {
+        let Since { confirmed, unconfirmed } = std::mem::take(&mut *lock(&self.since));
+        let sample = Sample {
+            at: monotonic(),
+            thread_cpu: thread_cpu(),
+            measuring_cpu: self.measuring.used(),
+            memory_kib: anonymous_memory_kib("self").unwrap_or(0),
+            empty_memory_kib: self.empty_memory_kib,
+            lateness: lateness.as_nanos() as Nanos,
+            confirmed,
+            unconfirmed,
+            nodes: self.nodes.iter().map(|(node, hosted)| hosted.sample(*node)).collect(),
+        };
+        let line = serde_json::to_string(&sample).map_err(|error| format!("sample: {error}"))?;
+        let mut out = std::io::stdout().lock();
+        writeln!(out, "{line}")
+            .and_then(|()| out.flush())
+            .map_err(|error| format!("standard output: {error}"))
+    }
+}
+
+async fn propose(log: LogHandle, proposals: Proposals, since: Shared, measuring: Meter) {
+    for turn in 0..proposals.count.unwrap_or(u64::MAX) {
+        sleep(Duration::from_millis(proposals.every_ms)).await;
+        let (log, since) = (log.clone(), since.clone());
+        let key = format!("key-{}", turn % proposals.keys.max(1));
+        let value = vec![b'v'; VALUE_BYTES];
+        tokio::spawn(measuring.clone().count(async move {
+            let begun = Instant::now();
+            let id = u128::from(monotonic()) << 64 | u128::from(turn);
+            match log.set(id, key, value, None).await {
+                Ok(_) => lock(&since).confirmed.push(begun.elapsed().as_nanos() as Nanos),
+                Err(_) => lock(&since).unconfirmed += 1,
+            }
+        }));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/simulated.rs
@@ -0,0 +1,41 @@
+//! The membership machine alone in virtual time, by the size of the fleet.
+
+use merlinfold_membership::{Membership, Tuning};
+use merlinfold_trial::scale::{play, Plan};
+
+use super::report::{Figure, Measured, Run, Sweep};
+use super::resources::thread_cpu;
+
+const CLOCK_READS: u32 = 10_000; // by which the cost of reading the clock is found
+const NOTE: &str =
+    "Virtual time, the membership machine alone: neither sockets nor snapshots nor the player are in its \
+                    processor time; what reading the clock costs is taken off.";
+
+/// Plays each size. The same seed gives the same counts and bytes; processor time is this machine's.
+pub fn sweep(sizes: &[usize], seconds: u64, seed: u64) -> Sweep {
+    let read_ns = cost_of_a_read();
+    let run = |&nodes: &usize| {
+        let make = |identity, seed| Membership::new(identity, Tuning::default(), seed, 0);
+        let measured = play(&Plan { nodes, seconds, seed }, make, &thread_cpu);
+        let machine_ns_s = (measured.machine_s - measured.calls_s * read_ns).max(0.0);
+        let figures = [
+            (Figure::Members, measured.entries as f64),
+            (Figure::MessagesS, measured.messages_s),
+            (Figure::BytesS, measured.bytes_s),
+            (Figure::CpuUsS, machine_ns_s / 1e3),
+        ];
+        let figures = figures.map(|(figure, value)| Measured { figure, value }).to_vec();
+        Run { size: nodes, machine: None, figures }
+    };
+    let runs = sizes.iter().map(run).collect();
+    Sweep::new("membership-machine", "nodes", seconds, NOTE, runs)
+}
+
+/// Nanoseconds of processor time between two reads of the clock with nothing between them.
+fn cost_of_a_read() -> f64 {
+    let begun = thread_cpu();
+    (0..CLOCK_READS).for_each(|_| {
+        std::hint::black_box(thread_cpu());
+    });
+    (thread_cpu() - begun) as f64 / f64::from(CLOCK_READS)
+}
--- /dev/null
+++ b/crates/lab/src/scale/window.rs
@@ -0,0 +1,175 @@
+//! What the nodes of a fleet cost between two moments, from the samples of their processes.
+
+use std::collections::BTreeMap;
+
+use merlinfold_world::{Nanos, MS, SECOND};
+use serde::Serialize;
+
+use super::cluster::Series;
+use super::messages::NodeSample;
+use super::resources::Processors;
+
+/// Share of all processors in use from which on the machine is taken for the limit of processor time and latency.
+pub const BUSY_MAX: f64 = 0.9;
+/// Lateness of timers at the 99th percentile from which on it is the limit of everything, also of what is sent: half of
+/// what a node takes for being held up.
+pub const LATENESS_MAX_MS: f64 = 50.0;
+
+/// Time in which costs are counted.
+#[derive(Clone, Copy, Debug)]
+pub struct Window {
+    /// From.
+    pub from: Nanos,
+    /// To.
+    pub to: Nanos,
+}
+
+/// How much of the machine a run had.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct MachineState {
+    /// Load over the minute before the run.
+    pub load_before: f64,
+    /// Share of all processors in use during the window, by whomever.
+    pub busy: f64,
+    /// Lateness of timers in the processes of hollow nodes, four a second in each, ms: the 99th percentile.
+    pub lateness_p99_ms: f64,
+    /// The same: the greatest of all.
+    pub lateness_max_ms: f64,
+    /// Times that a node found itself held up.
+    pub held_up: u64,
+    /// Whether its processors were the limit: processor times and latencies of the run are then used for no fit.
+    pub saturated: bool,
+    /// Whether timers were late: the run is then used for no fit at all.
+    pub late: bool,
+}
+
+impl MachineState {
+    /// What was wrong with the machine, if anything was.
+    pub fn verdict(&self) -> &'static str {
+        match (self.late, self.saturated) {
+            (true, _) => "  THE MACHINE WAS THE LIMIT (timers late): used for no fit",
+            (false, true) => "  PROCESSORS SATURATED: processor times and latencies used for no fit",
+            (false, false) => "",
+        }
+    }
+}
+
+/// What one node, or nodes of one role on the mean, cost in a window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Cost {
+    /// Messages sent a second.
+    pub messages_s: f64,
+    /// Bytes sent a second.
+    pub bytes_s: f64,
+    /// Of them the agreed log's.
+    pub log_bytes_s: f64,
+    /// Processor time for a second, us: of its own task, and an even share of what its process used beside.
+    pub cpu_us_s: f64,
+}
+
+impl Cost {
+    /// The mean of some.
+    pub fn mean<'a>(costs: impl Iterator<Item = &'a Cost>) -> Cost {
+        let (mut sum, mut count) = (Cost::default(), 0.0f64);
+        for cost in costs {
+            sum.messages_s += cost.messages_s;
+            sum.bytes_s += cost.bytes_s;
+            sum.log_bytes_s += cost.log_bytes_s;
+            sum.cpu_us_s += cost.cpu_us_s;
+            count += 1.0;
+        }
+        let of = |sum: f64| sum / count.max(1.0);
+        Cost {
+            messages_s: of(sum.messages_s),
+            bytes_s: of(sum.bytes_s),
+            log_bytes_s: of(sum.log_bytes_s),
+            cpu_us_s: of(sum.cpu_us_s),
+        }
+    }
+}
+
+fn difference(first: &NodeSample, last: &NodeSample, beside: f64, seconds: f64) -> Cost {
+    let rate = |from: u64, to: u64| to.saturating_sub(from) as f64 / seconds;
+    let log_bytes_s = rate(first.log_bytes, last.log_bytes);
+    Cost {
+        messages_s: rate(first.messages, last.messages) + rate(first.log_messages, last.log_messages),
+        bytes_s: rate(first.bytes, last.bytes) + log_bytes_s,
+        log_bytes_s,
+        cpu_us_s: (rate(first.cpu, last.cpu) + beside) / 1e3,
+    }
+}
+
+/// What each node cost between the first and the last sample of a window.
+pub fn costs(series: &[Series], window: Window) -> BTreeMap<usize, Cost> {
+    let mut costs = BTreeMap::new();
+    for of in series {
+        let mut inside = of.iter().filter(|sample| (window.from..=window.to).contains(&sample.at));
+        let (Some(first), Some(last)) = (inside.next(), inside.next_back()) else { continue };
+        let seconds = (last.at - first.at) as f64 / SECOND as f64;
+        let before: BTreeMap<usize, &NodeSample> = first.nodes.iter().map(|node| (node.node, node)).collect();
+        let nodes: Vec<(&NodeSample, &NodeSample)> =
+            last.nodes.iter().filter_map(|node| Some((*before.get(&node.node)?, node))).collect();
+        let used = last.thread_cpu.saturating_sub(first.thread_cpu);
+        let measuring = last.measuring_cpu.saturating_sub(first.measuring_cpu);
+        let in_tasks: u64 = nodes.iter().map(|(first, last)| last.cpu.saturating_sub(first.cpu)).sum();
+        let beside = used.saturating_sub(measuring).saturating_sub(in_tasks) as f64;
+        let beside_s = beside / seconds / nodes.len().max(1) as f64;
+        costs.extend(
+            nodes.iter().map(|(first, last)| (last.node, difference(first, last, beside_s, seconds))),
+        );
+    }
+    costs
+}
+
+/// Resident anonymous memory of a hollow node at the end of a window, KiB, on the mean.
+pub fn memory_kib(series: &[Series], window: Window) -> f64 {
+    let (mut memory, mut nodes) = (0, 0);
+    for of in series {
+        let Some(last) = of.iter().rfind(|sample| sample.at <= window.to) else { continue };
+        memory += last.memory_kib.saturating_sub(last.empty_memory_kib);
+        nodes += last.nodes.len();
+    }
+    memory as f64 / nodes.max(1) as f64
+}
+
+/// The last sample of each node in a window.
+pub fn last_of_nodes(series: &[Series], window: Window) -> BTreeMap<usize, NodeSample> {
+    let last = |of: &Series| of.iter().rfind(|sample| sample.at <= window.to).cloned();
+    series.iter().filter_map(last).flat_map(|last| last.nodes).map(|node| (node.node, node)).collect()
+}
+
+/// How the machine was in a window.
+pub fn machine_state(
+    series: &[Series], window: Window, load_before: f64, earlier: Option<Processors>,
+) -> MachineState {
+    let busy = match (Processors::now(), earlier) {
+        (Some(now), Some(earlier)) => now.busy_since(&earlier),
+        _ => 0.0,
+    };
+    let inside = |at: Nanos| (window.from..=window.to).contains(&at);
+    let samples = || series.iter().flatten().filter(|sample| inside(sample.at));
+    let mut lateness: Vec<Nanos> = samples().map(|sample| sample.lateness).collect();
+    lateness.sort_unstable();
+    let at = |share: f64| {
+        let place = ((lateness.len().max(1) - 1) as f64 * share).round() as usize;
+        lateness.get(place).map_or(0.0, |late| *late as f64 / MS as f64)
+    };
+    let held_up = |of: &Series| {
+        let mut inside = of.iter().filter(|sample| inside(sample.at));
+        let sum = |nodes: &[NodeSample]| nodes.iter().map(|node| node.held_up).sum::<u64>();
+        match (inside.next(), inside.next_back()) {
+            (Some(first), Some(last)) => sum(&last.nodes).saturating_sub(sum(&first.nodes)),
+            _ => 0,
+        }
+    };
+    let lateness_p99_ms = at(0.99);
+    MachineState {
+        load_before,
+        busy,
+        lateness_p99_ms,
+        lateness_max_ms: at(1.0),
+        held_up: series.iter().map(held_up).sum(),
+        saturated: busy > BUSY_MAX,
+        late: lateness_p99_ms > LATENESS_MAX_MS,
+    }
+}
--- a/crates/lab/src/trial/processes.rs
+++ b/crates/lab/src/trial/processes.rs
@@ -594,7 +594,7 @@
 }
 
 /// What a console says of its fleet.
-async fn members(at: SocketAddr) -> Option<Snapshot> {
+pub(crate) async fn members(at: SocketAddr) -> Option<Snapshot> {
     debug_assert!(matches!(at.ip(), IpAddr::V4(ip) if ip.is_loopback()));
     let mut stream = TcpStream::connect(at).await.ok()?;
     stream.write_all(format!("GET /fleet/members HTTP/1.1\r\nHost: {at}\r\n\r\n").as_bytes()).await.ok()?;
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod laws;
 pub mod link;
 pub mod report;
+pub mod scale;
 pub mod schedule;
 pub mod shrink;
 pub mod spec;
