--- a/crates/lab/src/scale/proof.rs
+++ b/crates/lab/src/scale/proof.rs
@@ -70,6 +70,8 @@
     pub bare: Kind,
     /// A real node in the fleet.
     pub joined: Kind,
+    /// Of a hollow node's processor time that of its own task, us.
+    pub hollow_task_us_s: f64,
     /// The figures.
     pub likeness: Vec<Likeness>,
 }
@@ -184,6 +186,7 @@
         machine,
         bare: bare_cost,
         joined: joined_cost,
+        hollow_task_us_s: mean.task_us_s,
         likeness,
     };
     println!("{}", proof.text());
@@ -208,6 +211,7 @@
                 of.figure, of.hollow, of.real, of.ratio
             );
         }
+        text += &format!("of a hollow node's processor time its own task {:.1} us\n", self.hollow_task_us_s);
         text
     }
 }
--- a/crates/lab/src/scale/report.rs
+++ b/crates/lab/src/scale/report.rs
@@ -29,7 +29,9 @@
     LogBytesS,
     /// Processor time of a node's second, us, on the mean.
     CpuUsS,
-    /// The same of the node that uses most.
+    /// Of it that of its own task.
+    TaskUsS,
+    /// Of all its processor time, the node that uses most.
     CpuMaxUsS,
     /// Resident memory of a node, KiB.
     MemoryKib,
@@ -50,8 +52,8 @@
 impl Figure {
     /// Whether it says nothing where all processors are taken.
     fn needs_processors(self) -> bool {
-        use Figure::{CommitMedianMs, CommitP99Ms, CpuMaxUsS, CpuUs, CpuUsS, TimeMs};
-        matches!(self, CpuUsS | CpuMaxUsS | CommitMedianMs | CommitP99Ms | CpuUs | TimeMs)
+        use Figure::{CommitMedianMs, CommitP99Ms, CpuMaxUsS, CpuUs, CpuUsS, TaskUsS, TimeMs};
+        matches!(self, CpuUsS | CpuMaxUsS | CommitMedianMs | CommitP99Ms | CpuUs | TaskUsS | TimeMs)
     }
 
     fn name(self) -> String {
--- a/crates/lab/src/scale/window.rs
+++ b/crates/lab/src/scale/window.rs
@@ -65,6 +65,8 @@
     pub log_bytes_s: f64,
     /// Processor time for a second, us: of its own task, and an even share of what its process used beside.
     pub cpu_us_s: f64,
+    /// Of it its own task's.
+    pub task_us_s: f64,
 }
 
 impl Cost {
@@ -76,6 +78,7 @@
             sum.bytes_s += cost.bytes_s;
             sum.log_bytes_s += cost.log_bytes_s;
             sum.cpu_us_s += cost.cpu_us_s;
+            sum.task_us_s += cost.task_us_s;
             count += 1.0;
         }
         let of = |sum: f64| sum / count.max(1.0);
@@ -84,6 +87,7 @@
             bytes_s: of(sum.bytes_s),
             log_bytes_s: of(sum.log_bytes_s),
             cpu_us_s: of(sum.cpu_us_s),
+            task_us_s: of(sum.task_us_s),
         }
     }
 }
@@ -96,6 +100,7 @@
         bytes_s: rate(first.bytes, last.bytes) + log_bytes_s,
         log_bytes_s,
         cpu_us_s: (rate(first.cpu, last.cpu) + beside) / 1e3,
+        task_us_s: rate(first.cpu, last.cpu) / 1e3,
     }
 }
 
