--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod platform;
 pub mod play;
 pub mod process;
+pub mod scale;
 mod servers;
 pub mod sim;
 mod time;
