Add a pure machine that distributes revisions of the configuration

Need: a revision that the agreed log announces by id and digest has to reach every node by a way apart from the log.

--- /dev/null
+++ b/crates/distribution/src/bounds.rs
@@ -0,0 +1,78 @@
+//! Every bound of the distribution, in one place.
+
+use crate::config::{Nanos, MS, SECOND};
+
+/// Bytes of a datagram at most: fits any path without fragments.
+pub const MAX_DATAGRAM: usize = 1_200;
+/// Bytes of content that one datagram carries.
+pub const PIECE_BYTES: usize = 900;
+/// Bytes of a document, and of a delta, at most.
+pub const MAX_CONTENT: usize = 4 << 20;
+/// Deltas kept for nodes that are behind.
+pub const MAX_HISTORY: usize = 128;
+/// Bytes of these deltas.
+pub const MAX_HISTORY_BYTES: usize = 4 << 20;
+/// Whole documents kept for nodes that fetch them: the last one, and the one before.
+pub const MAX_SNAPSHOTS: usize = 2;
+/// Bundles of deltas kept while they are being fetched.
+pub const MAX_BUNDLES: usize = 4;
+/// Contents that a voter keeps before they are announced.
+pub const MAX_STAGED: usize = 4;
+/// After so long content that was not announced is dropped.
+pub const STAGED_LASTS: Nanos = 60 * SECOND;
+/// Publications under way at one node.
+pub const MAX_PUBLICATIONS: usize = 4;
+/// Announcements remembered, so that one that is superseded while it is fetched can still be applied.
+pub const MAX_ANNOUNCEMENTS: usize = 128;
+
+/// Pieces under way to one node.
+pub const WINDOW: usize = 32;
+/// Pieces asked for in one datagram.
+pub const MAX_PIECES_PULLED: usize = 16;
+/// Without an answer after so long a request or a pull is repeated.
+pub const ANSWER_WITHIN: Nanos = 250 * MS;
+/// Without a new piece for so long another node is asked.
+pub const PROGRESS_WITHIN: Nanos = 1_500 * MS;
+/// The shortest time from a failed attempt to the next.
+pub const RETRY_MIN: Nanos = 40 * MS;
+/// The longest.
+pub const RETRY_MAX: Nanos = SECOND;
+/// Attempts after which the time between two stops growing.
+pub const RETRY_DOUBLINGS: u32 = 5;
+/// A node that has just started waits up to so long before it fetches.
+pub const START_SPREAD: Nanos = SECOND;
+
+/// Transfers of more than one piece that a node serves at once.
+pub const MAX_TRANSFERS: usize = 4;
+/// The same at a voter.
+pub const MAX_VOTER_TRANSFERS: usize = 2;
+/// A transfer without a pull for so long gives up its place.
+pub const TRANSFER_LASTS: Nanos = SECOND;
+/// Bytes a second that a node serves.
+pub const SERVE_RATE: u64 = 4_000_000;
+/// Bytes a second that a voter serves.
+pub const VOTER_SERVE_RATE: u64 = 1_000_000;
+/// Bytes a second that a node fetches while it catches up after a start, unless it is told otherwise.
+pub const CATCH_UP_RATE: u64 = 1_000_000;
+/// Share of a second's rate that may pass at once: one in so many.
+pub const BURST_PARTS: u64 = 10;
+
+/// Between two reports of a node.
+pub const REPORT_EVERY: Nanos = SECOND;
+/// Reports of nodes in one datagram.
+pub const MAX_REPORTS_SENT: usize = 32;
+/// Reports of nodes that are held.
+pub const MAX_REPORTS: usize = 4_096;
+/// Older reports are dropped: their nodes are unknown.
+pub const REPORT_LASTS: Nanos = 60 * SECOND;
+
+/// The content of a publication has to reach a majority of the voters within this.
+pub const STAGE_WITHIN: Nanos = 8 * SECOND;
+/// Between two offers of it to a voter that has not answered.
+pub const OFFER_EVERY: Nanos = 300 * MS;
+/// Between two writes of the revision in force.
+pub const SAVE_EVERY: Nanos = 10 * SECOND;
+/// After a failed write the next.
+pub const SAVE_RETRY: Nanos = 5 * SECOND;
+/// A revision that the log contradicts for so long is set aside.
+pub const SET_ASIDE_AFTER: Nanos = 5 * SECOND;
--- /dev/null
+++ b/crates/distribution/src/lib.rs
@@ -0,0 +1,32 @@
+//! Distribution of versioned configuration: revisions that the agreed log announces, and their content on its way to
+//! every node.
+//!
+//! A pure machine. Time, datagrams, the membership's view, the state of the log and word of the disk come in;
+//! datagrams, documents to be applied, writes and notes come out. It opens no socket, reads no clock and writes no
+//! file: the same code runs in the product and, by the thousand, in virtual time.
+//!
+//! Content is opaque: a document is bytes with a SHA-256 digest, and what a delta does to one is the host's
+//! ([`Action::Compose`]). Only a whole document whose digest is announced is handed to [`Action::Apply`].
+
+pub mod bounds;
+mod config;
+mod content;
+mod fetch;
+mod history;
+mod machine;
+mod overview;
+mod reports;
+mod revision;
+mod saved;
+mod server;
+mod wire;
+
+pub use config::{Defect, Identity, Name, Nanos, Peer, Tuning, MS, SECOND};
+pub use content::{Content, Delta, Rejection};
+pub use machine::{
+    Action, Distribution, Event, LogState, Note, ProposalError, Publication, PublishError, Ticket,
+};
+pub use overview::{NodeCount, Overview};
+pub use revision::{Announcement, Digest, RevisionId, FORMAT_UNKNOWN_ABOVE, REGISTER_KEY};
+pub use saved::{Document, Saved, StagedContent, Write, SAVED_VERSION};
+pub use wire::{encode, read, Body, Envelope, Fault, Report, Transfer, TransferKind, VERSION};
--- /dev/null
+++ b/crates/distribution/src/machine/applying.rs
@@ -0,0 +1,200 @@
+//! From fetched content to a revision in force: compose, verify, apply.
+
+use std::sync::Arc;
+
+use super::fetching::Fetch;
+use super::{Action, Distribution, Note};
+use crate::bounds::MAX_CONTENT;
+use crate::config::{Defect, Nanos};
+use crate::content::Rejection;
+use crate::history::Link;
+use crate::revision::Announcement;
+use crate::saved::Document;
+use crate::wire::TransferKind;
+
+/// What the machine is busy with on the way to the next revision.
+#[derive(Debug)]
+pub enum Work {
+    /// Nothing.
+    Idle,
+    /// Its content is being fetched.
+    Fetching(Box<Fetch>),
+    /// Deltas are being applied to a copy.
+    Composing {
+        /// What they have to result in.
+        target: Announcement,
+        /// Them.
+        chain: Vec<Link>,
+    },
+    /// The host is putting it in force.
+    Applying(Document),
+}
+
+impl Work {
+    /// Whether there is nothing under way.
+    pub fn is_idle(&self) -> bool {
+        matches!(self, Work::Idle)
+    }
+
+    /// The fetch under way, if that is what it is; nothing is under way then.
+    pub fn take_fetch(&mut self) -> Option<Box<Fetch>> {
+        match std::mem::replace(self, Work::Idle) {
+            Work::Fetching(fetch) => Some(fetch),
+            other => {
+                *self = other;
+                None
+            }
+        }
+    }
+
+    /// In a line.
+    pub fn text(&self) -> String {
+        match self {
+            Work::Idle => "idle".to_owned(),
+            Work::Fetching(fetch) => format!("fetches {} at attempt {}", fetch.target.id, fetch.attempt),
+            Work::Composing { target, chain } => format!("composes {} of {}", target.id, chain.len()),
+            Work::Applying(document) => format!("applies {}", document.announcement.id),
+        }
+    }
+}
+
+impl Distribution {
+    /// What the disk held comes into force before anything is heard.
+    pub(super) fn restore(&mut self, document: Document, out: &mut Vec<Action>) {
+        if document.announcement.format > self.tuning.max_format {
+            return self.refuse(
+                document.announcement,
+                self.unknown_format(document.announcement.format),
+                out,
+            );
+        }
+        self.hold(document.clone());
+        self.apply(document, out);
+    }
+
+    /// Begins with the next revision where nothing is under way, and goes on with what is.
+    pub(super) fn work(&mut self, now: Nanos, out: &mut Vec<Action>) {
+        if self.work.is_idle() {
+            match self.target() {
+                Some(target) => self.begin(now, target, out),
+                None if self.log.announcement.is_some() => self.catching_up = None,
+                None => {}
+            }
+        }
+        self.fetch_more(now, out);
+    }
+
+    fn unknown_format(&self, format: u16) -> String {
+        format!(
+            "its format is {format}; this version knows up to {}: upgrade this node",
+            self.tuning.max_format
+        )
+    }
+
+    fn begin(&mut self, now: Nanos, target: Announcement, out: &mut Vec<Action>) {
+        if target.format > self.tuning.max_format {
+            return self.refuse(target, self.unknown_format(target.format), out);
+        }
+        // Going back and forth gives the same document again.
+        if let Some(held) = self.held.as_ref().filter(|held| held.announcement.digest == target.digest) {
+            let document = Document { announcement: target, bytes: held.bytes.clone() };
+            self.hold(document.clone());
+            return self.apply(document, out);
+        }
+        let held = self.held_digest();
+        let staged = self.staged.iter().find(|(_, staged)| {
+            let fits = staged.transfer.kind == TransferKind::Snapshot || staged.base == held;
+            staged.announcement == target && fits
+        });
+        if let Some((_, staged)) = staged {
+            let (kind, bytes) = (staged.transfer.kind, staged.bytes.clone());
+            return self.received(now, target, kind, &bytes, out);
+        }
+        self.work = Work::Fetching(Box::new(Fetch::new(target, now.max(self.fetch_after))));
+    }
+
+    /// All of a transfer has come, and has the digest that it was offered with.
+    pub(super) fn received(
+        &mut self, now: Nanos, target: Announcement, kind: TransferKind, bytes: &[u8], out: &mut Vec<Action>,
+    ) {
+        match kind {
+            TransferKind::Snapshot => self.verified(now, target, Arc::from(bytes), Vec::new(), out),
+            TransferKind::Chain => {
+                let chain: Vec<Link> = postcard::from_bytes(bytes).unwrap_or_default();
+                let base = self.held.as_ref().map_or_else(|| Arc::from([]), |held| held.bytes.clone());
+                let deltas = chain.iter().map(|link| link.delta.clone()).collect();
+                self.work = Work::Composing { target, chain };
+                out.push(Action::Compose { base, deltas });
+            }
+        }
+    }
+
+    pub(super) fn composed(
+        &mut self, now: Nanos, result: Result<Arc<[u8]>, Rejection>, out: &mut Vec<Action>,
+    ) {
+        if !matches!(self.work, Work::Composing { .. }) {
+            return;
+        }
+        let Work::Composing { target, chain } = std::mem::replace(&mut self.work, Work::Idle) else { return };
+        match result {
+            Ok(document) if document.len() <= MAX_CONTENT => self.verified(now, target, document, chain, out),
+            _ => self.bad_chain(now, target, out),
+        }
+    }
+
+    /// Compares a document with what is announced, and has it applied if it is that.
+    fn verified(
+        &mut self, now: Nanos, target: Announcement, bytes: Arc<[u8]>, chain: Vec<Link>,
+        out: &mut Vec<Action>,
+    ) {
+        let trusts = matches!(self.tuning.defect, Some(Defect::SkipsVerification | Defect::AppliesHalf));
+        if !target.matches(&bytes) && !trusts {
+            return self.bad_chain(now, target, out);
+        }
+        if let Some(base) = self.held_digest() {
+            self.history.add_chain(base, chain);
+        }
+        let document = Document { announcement: target, bytes };
+        self.hold(document.clone());
+        self.apply(document, out);
+    }
+
+    /// Deltas, or what was staged, did not lead to the announced digest.
+    fn bad_chain(&mut self, now: Nanos, target: Announcement, out: &mut Vec<Action>) {
+        out.push(Action::Tell(Note::BadChain(target.id)));
+        self.staged.retain(|(_, staged)| staged.announcement != target);
+        self.work = Work::Fetching(Box::new(Fetch::snapshot(target, now)));
+    }
+
+    fn hold(&mut self, document: Document) {
+        self.history.add_snapshot(document.announcement, document.bytes.clone());
+        self.held = Some(document);
+    }
+
+    fn apply(&mut self, document: Document, out: &mut Vec<Action>) {
+        out.push(Action::Apply(document.clone()));
+        self.work = Work::Applying(document);
+    }
+
+    pub(super) fn applied(&mut self, now: Nanos, result: Result<(), Rejection>, out: &mut Vec<Action>) {
+        if !matches!(self.work, Work::Applying(_)) {
+            return;
+        }
+        let Work::Applying(document) = std::mem::replace(&mut self.work, Work::Idle) else { return };
+        let announcement = document.announcement;
+        match result {
+            Ok(()) => {
+                self.in_force = Some(document);
+                (self.refused, self.forsaken) = (None, false);
+                self.report_at = self.report_at.min(now + crate::bounds::REPORT_EVERY);
+                out.push(Action::Tell(Note::InForce(announcement)));
+            }
+            Err(Rejection(why)) => self.refuse(announcement, why, out),
+        }
+    }
+
+    fn refuse(&mut self, announcement: Announcement, why: String, out: &mut Vec<Action>) {
+        self.refused = Some((announcement.id, why.clone()));
+        out.push(Action::Tell(Note::Refused(announcement.id, why)));
+    }
+}
--- /dev/null
+++ b/crates/distribution/src/machine/fetching.rs
@@ -0,0 +1,208 @@
+//! From whom content is fetched, and at which pace.
+
+use super::applying::Work;
+use super::{Action, Distribution, Note};
+use crate::bounds::{ANSWER_WITHIN, MAX_PIECES_PULLED, PIECE_BYTES, RETRY_DOUBLINGS, RETRY_MAX, RETRY_MIN};
+use crate::config::{Defect, Name, Nanos, Peer};
+use crate::fetch::Download;
+use crate::revision::{Announcement, Digest, RevisionId};
+use crate::wire::{Body, Transfer, TransferKind};
+
+/// The content of one revision on its way here.
+#[derive(Debug)]
+pub struct Fetch {
+    /// Which revision.
+    pub target: Announcement,
+    /// Attempts that were begun.
+    pub attempt: u32,
+    snapshot: bool, // only as such
+    phase: Phase,
+    partial: Option<Download>, // what has come of a transfer that was given up: another node may have the same
+}
+
+#[derive(Debug)]
+enum Phase {
+    Waiting { until: Nanos },
+    Asked { from: Name, until: Nanos },
+    Downloading(Download),
+}
+
+impl Fetch {
+    /// One that begins then.
+    pub fn new(target: Announcement, at: Nanos) -> Self {
+        Fetch { target, attempt: 0, snapshot: false, phase: Phase::Waiting { until: at }, partial: None }
+    }
+
+    /// One of the whole document only.
+    pub fn snapshot(target: Announcement, at: Nanos) -> Self {
+        Fetch { snapshot: true, ..Fetch::new(target, at) }
+    }
+}
+
+/// Where the next attempt goes: near nodes before far ones, and both before voters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    Near,
+    Far,
+    Voter,
+}
+
+/// The order of attempts, over and over.
+const SOURCES: [Source; 5] = [Source::Near, Source::Near, Source::Far, Source::Near, Source::Voter];
+
+impl Distribution {
+    pub(super) fn work_due(&self) -> Option<Nanos> {
+        let Work::Fetching(fetch) = &self.work else { return None };
+        Some(match &fetch.phase {
+            Phase::Waiting { until } | Phase::Asked { until, .. } => *until,
+            Phase::Downloading(download) => download.due().max(self.fetch_after),
+        })
+    }
+
+    /// Goes on with the fetch under way.
+    pub(super) fn fetch_more(&mut self, now: Nanos, out: &mut Vec<Action>) {
+        let Some(mut fetch) = self.work.take_fetch() else { return };
+        match &mut fetch.phase {
+            Phase::Waiting { until } if *until <= now => self.ask(now, &mut fetch, out),
+            Phase::Asked { until, .. } if *until <= now => self.retry(now, &mut fetch, false),
+            Phase::Downloading(download) if self.is_over(download) => {
+                return self.finish(now, *fetch, out);
+            }
+            Phase::Downloading(download) if download.is_stuck(now) => self.retry(now, &mut fetch, false),
+            Phase::Downloading(download) => pull(self, now, download, out),
+            _ => {}
+        }
+        self.work = Work::Fetching(fetch);
+    }
+
+    fn is_over(&self, download: &Download) -> bool {
+        let half = self.tuning.defect == Some(Defect::AppliesHalf) && download.is_half();
+        download.is_complete() || half
+    }
+
+    /// The next attempt, later after each failure.
+    fn retry(&mut self, now: Nanos, fetch: &mut Fetch, busy: bool) {
+        let doublings = (fetch.attempt / SOURCES.len() as u32).min(RETRY_DOUBLINGS) + u32::from(busy);
+        let wait = (RETRY_MIN << doublings).min(RETRY_MAX);
+        let until = now + wait + self.rng.u64(0..wait);
+        if let Phase::Downloading(download) = std::mem::replace(&mut fetch.phase, Phase::Waiting { until }) {
+            fetch.partial = Some(download);
+        }
+    }
+
+    fn ask(&mut self, now: Nanos, fetch: &mut Fetch, out: &mut Vec<Action>) {
+        if let Some(latest) = self.target().filter(|latest| latest.id != fetch.target.id) {
+            // Superseded while nothing had come of it.
+            fetch.target = latest;
+            fetch.partial = None;
+        }
+        let source = SOURCES[fetch.attempt as usize % SOURCES.len()];
+        fetch.attempt += 1;
+        let Some(from) = self.source(source) else { return self.retry(now, fetch, false) };
+        let have = self.held_digest();
+        let request = Body::Request { have, want: fetch.target.id, snapshot: fetch.snapshot };
+        self.send(&from, request, out);
+        fetch.phase = Phase::Asked { from, until: now + ANSWER_WITHIN };
+    }
+
+    /// A node to ask; any live one where there is none of that kind.
+    fn source(&mut self, source: Source) -> Option<Name> {
+        let zone = self.id.zone.clone();
+        let fits = |peer: &&Peer| match source {
+            Source::Near => !peer.votes && peer.zone == zone,
+            Source::Far => !peer.votes && peer.zone != zone,
+            Source::Voter => peer.votes,
+        };
+        let alive = self.peers.iter().filter(|peer| peer.alive);
+        let fitting: Vec<&Peer> = alive.clone().filter(fits).collect();
+        let chosen = if fitting.is_empty() { alive.collect() } else { fitting };
+        (!chosen.is_empty()).then(|| chosen[self.rng.usize(0..chosen.len())].name.clone())
+    }
+
+    pub(super) fn offered(
+        &mut self, now: Nanos, from: &Name, want: RevisionId, transfer: Transfer, first: &[u8],
+    ) {
+        let Work::Fetching(fetch) = &mut self.work else { return };
+        let asked = matches!(&fetch.phase, Phase::Asked { from: asked, .. } if asked == from);
+        if !asked || fetch.target.id != want {
+            return;
+        }
+        let whole = transfer.kind == TransferKind::Snapshot;
+        let is_target = transfer.digest == fetch.target.digest && transfer.length == fetch.target.length;
+        let verifies = self.tuning.defect != Some(Defect::SkipsVerification);
+        let fits = if whole { is_target || !verifies } else { !fetch.snapshot };
+        let partial = fetch.partial.take().filter(|partial| partial.transfer == transfer);
+        let download = match partial {
+            Some(mut partial) => {
+                partial.resume(now, from.clone());
+                Some(partial)
+            }
+            None => Download::new(now, from.clone(), transfer),
+        };
+        let Some(mut download) = download.filter(|_| fits) else { return };
+        download.take(now, 0, first);
+        fetch.phase = Phase::Downloading(download);
+    }
+
+    pub(super) fn denied(&mut self, now: Nanos, from: &Name, want: RevisionId, busy: bool) {
+        let Some(mut fetch) = self.work.take_fetch() else { return };
+        let asked = matches!(&fetch.phase, Phase::Asked { from: asked, .. } if asked == from);
+        if asked && fetch.target.id == want {
+            self.retry(now, &mut fetch, busy);
+        }
+        self.work = Work::Fetching(fetch);
+    }
+
+    pub(super) fn piece(&mut self, now: Nanos, digest: Digest, number: u16, bytes: &[u8]) {
+        if let Some(staging) =
+            self.staging.as_mut().filter(|staging| staging.download.transfer.digest == digest)
+        {
+            staging.download.take(now, number, bytes);
+        }
+        let Work::Fetching(fetch) = &mut self.work else { return };
+        if let Phase::Downloading(download) = &mut fetch.phase {
+            if download.transfer.digest == digest {
+                download.take(now, number, bytes);
+            }
+        }
+    }
+
+    fn finish(&mut self, now: Nanos, mut fetch: Fetch, out: &mut Vec<Action>) {
+        let Phase::Downloading(download) = fetch.phase else { return };
+        let (from, transfer) = (download.from.clone(), download.transfer);
+        let bytes = download.into_bytes();
+        let trusts = matches!(self.tuning.defect, Some(Defect::SkipsVerification | Defect::AppliesHalf));
+        if Digest::of(&bytes) != transfer.digest && !trusts {
+            out.push(Action::Tell(Note::BadContent(from, fetch.target.id)));
+            fetch.phase = Phase::Waiting { until: now + RETRY_MIN };
+            self.work = Work::Fetching(Box::new(fetch));
+            return;
+        }
+        self.received(now, fetch.target, transfer.kind, &bytes, out);
+    }
+}
+
+/// Pulls what there is room for, at the pace of a node that catches up.
+fn pull(node: &mut Distribution, now: Nanos, download: &mut Download, out: &mut Vec<Action>) {
+    loop {
+        let budget = match &mut node.catching_up {
+            Some(budget) => (budget.left(now) as usize / PIECE_BYTES).min(MAX_PIECES_PULLED),
+            None => MAX_PIECES_PULLED,
+        };
+        if budget == 0 {
+            let wait =
+                node.catching_up.as_mut().map(|budget| budget.when(now, MAX_PIECES_PULLED * PIECE_BYTES));
+            node.fetch_after = wait.unwrap_or(now);
+            return;
+        }
+        let pieces = download.pull(now, budget);
+        if pieces.is_empty() {
+            return;
+        }
+        if let Some(budget) = &mut node.catching_up {
+            budget.spend(now, pieces.len() * PIECE_BYTES);
+        }
+        let (from, digest) = (download.from.clone(), download.transfer.digest);
+        node.send(&from, Body::Pull { digest, pieces }, out);
+    }
+}
--- /dev/null
+++ b/crates/distribution/src/machine/reporting.rs
@@ -0,0 +1,111 @@
+//! Which revision is in force where: told on, and counted.
+
+use std::collections::BTreeMap;
+
+use super::{Action, Distribution};
+use crate::bounds::REPORT_EVERY;
+use crate::config::{Defect, Name, Nanos, Peer};
+use crate::overview::{Overview, MAX_NAMES};
+use crate::reports::{self, report, Known};
+use crate::revision::RevisionId;
+use crate::wire::{Body, Report};
+
+impl Distribution {
+    /// This node's own report: what is set aside is in force, but counts for nothing.
+    fn own(&self, now: Nanos) -> Known {
+        let in_force = self.in_force.as_ref().filter(|_| !self.forsaken);
+        let id = in_force.map_or_else(RevisionId::default, |document| document.announcement.id);
+        Known { id, refused: self.refused.is_some(), as_of: now }
+    }
+
+    fn sample(&mut self, now: Nanos) -> Vec<Report> {
+        let mut reports = vec![report(now, self.own_hash(), self.own(now))];
+        let from = self.rng.u32(..);
+        reports.extend(self.reports.sample(now, from));
+        reports
+    }
+
+    /// Tells one other node now and then.
+    pub(super) fn report(&mut self, now: Nanos, out: &mut Vec<Action>) {
+        if now < self.report_at {
+            return;
+        }
+        self.report_at = now + REPORT_EVERY / 2 + self.rng.u64(0..REPORT_EVERY);
+        self.reports.expire(now);
+        let alive: Vec<&Peer> = self.peers.iter().filter(|peer| peer.alive).collect();
+        if alive.is_empty() {
+            return;
+        }
+        let to = alive[self.rng.usize(0..alive.len())].name.clone();
+        let reports = self.sample(now);
+        self.send(&to, Body::Reports { reports, answer: true }, out);
+    }
+
+    pub(super) fn reported(
+        &mut self, now: Nanos, from: &Name, reports: &[Report], answer: bool, out: &mut Vec<Action>,
+    ) {
+        self.reports.take(now, self.own_hash(), reports);
+        if answer {
+            let reports = self.sample(now);
+            self.send(from, Body::Reports { reports, answer: false }, out);
+        }
+    }
+
+    /// The fleet as it is known here.
+    pub fn overview(&self, now: Nanos) -> Overview {
+        let latest = self.log.announcement.map(|announcement| announcement.id);
+        let mut overview = Overview {
+            latest,
+            in_force: self.in_force.as_ref().map(|document| document.announcement.id),
+            digest: self.in_force.as_ref().map(|document| document.announcement.digest),
+            refused_here: self.refused.clone(),
+            set_aside: self.set_aside.clone(),
+            unsaved: self.saving.is_failing(),
+            log_heard: self.log_heard.map(|at| now.saturating_sub(at)),
+            ..Overview::default()
+        };
+        count(&mut overview, now, &self.id.name, Some(self.own(now)));
+        let mut names: BTreeMap<u32, usize> = BTreeMap::from([(self.own_hash(), 1)]);
+        let live = || self.peers.iter().filter(|peer| peer.alive);
+        live().for_each(|peer| *names.entry(reports::hash(&peer.name)).or_default() += 1);
+        for peer in live() {
+            let hash = reports::hash(&peer.name);
+            // Where two names have one hash, nobody can say whose report it is.
+            let known = self.reports.of(now, hash).filter(|_| names.get(&hash) == Some(&1));
+            let known = match (known, self.tuning.defect) {
+                (None, Some(Defect::SilenceIsApplied)) => {
+                    latest.map(|id| Known { id, refused: false, as_of: now })
+                }
+                _ => known,
+            };
+            count(&mut overview, now, &peer.name, known);
+        }
+        while overview.revisions.len() > MAX_NAMES {
+            overview.revisions.pop_last();
+        }
+        overview
+    }
+
+    /// Which revision is known to be in force at a node; none where nothing was heard of it for too long.
+    pub fn known_at(&self, now: Nanos, name: &str) -> Option<RevisionId> {
+        self.reports.of(now, reports::hash(name)).map(|known| known.id)
+    }
+}
+
+fn count(overview: &mut Overview, now: Nanos, name: &Name, known: Option<Known>) {
+    overview.live += 1;
+    let Some(known) = known else { return overview.unknown.add(name) };
+    overview.oldest_report = overview.oldest_report.max(now.saturating_sub(known.as_of));
+    *overview.revisions.entry(known.id).or_default() += 1;
+    if known.refused {
+        overview.refused.add(name);
+    }
+    match Some(known.id).filter(|id| id.number > 0).cmp(&overview.latest) {
+        std::cmp::Ordering::Less => overview.behind.add(name),
+        std::cmp::Ordering::Equal => overview.applied += 1,
+        std::cmp::Ordering::Greater => overview.ahead += 1,
+    }
+    if overview.lowest.as_ref().is_none_or(|(lowest, _)| known.id < *lowest) {
+        overview.lowest = Some((known.id, name.clone()));
+    }
+}
--- /dev/null
+++ b/crates/distribution/src/machine/staging.rs
@@ -0,0 +1,109 @@
+//! Content that a voter keeps before it is announced, so that it outlives whoever publishes it.
+
+use super::{Action, Distribution};
+use crate::bounds::{MAX_CONTENT, MAX_PIECES_PULLED, MAX_STAGED, STAGED_LASTS};
+use crate::config::{Defect, Name, Nanos};
+use crate::fetch::Download;
+use crate::revision::{Announcement, Digest};
+use crate::saved::{StagedContent, Write};
+use crate::wire::{Body, Transfer};
+
+/// Content on its way from its publisher.
+#[derive(Debug)]
+pub struct Staging {
+    /// Its pieces.
+    pub download: Download,
+    announcement: Announcement,
+    base: Option<Digest>,
+}
+
+impl Staging {
+    /// When it next wants a look.
+    pub fn due(&self) -> Nanos {
+        self.download.due()
+    }
+}
+
+impl Distribution {
+    /// A publisher asks this voter to keep some content.
+    pub(super) fn asked_to_stage(
+        &mut self, now: Nanos, from: Name, announcement: Announcement, base: Option<Digest>,
+        transfer: Transfer, out: &mut Vec<Action>,
+    ) {
+        if self.is_staged(&announcement) {
+            // It is told only when it is durable, where there is a disk.
+            if !self.saving.wants_staged() {
+                self.send(&from, Body::Staged { announcement }, out);
+            }
+            return;
+        }
+        let free = self.staging.as_ref().is_none_or(|staging| staging.download.is_stuck(now));
+        let fits = transfer.length as usize <= MAX_CONTENT + MAX_CONTENT / 64;
+        if free && fits && self.votes {
+            let download = Download::new(now, from, transfer);
+            self.staging = download.map(|download| Staging { download, announcement, base });
+        }
+    }
+
+    fn is_staged(&self, announcement: &Announcement) -> bool {
+        self.staged.iter().any(|(_, staged)| staged.announcement == *announcement)
+    }
+
+    /// Goes on with what is fetched from a publisher, and drops what was never announced.
+    pub(super) fn stage_more(&mut self, now: Nanos, out: &mut Vec<Action>) {
+        let floor = self.held_id();
+        let announcements = &self.announcements;
+        self.staged.retain(|(since, staged)| {
+            let id = staged.announcement.id;
+            let announced = announcements.get(&id) == Some(&staged.announcement);
+            (announced || now < since + STAGED_LASTS) && Some(id) > floor
+        });
+        let Some(mut staging) = self.staging.take() else { return };
+        if staging.download.is_complete() {
+            return self.staged_whole(now, staging, out);
+        }
+        if staging.download.is_stuck(now) {
+            return; // the publisher offers it again if it is still there
+        }
+        let (from, digest) = (staging.download.from.clone(), staging.download.transfer.digest);
+        loop {
+            let pieces = staging.download.pull(now, MAX_PIECES_PULLED);
+            if pieces.is_empty() {
+                break;
+            }
+            self.send(&from, Body::Pull { digest, pieces }, out);
+        }
+        self.staging = Some(staging);
+    }
+
+    fn staged_whole(&mut self, now: Nanos, staging: Staging, out: &mut Vec<Action>) {
+        let Staging { download, announcement, base } = staging;
+        let (from, transfer) = (download.from.clone(), download.transfer);
+        let bytes = download.into_bytes();
+        if Digest::of(&bytes) != transfer.digest {
+            return; // it is offered again
+        }
+        self.keep_staged(now, StagedContent { announcement, base, transfer, bytes: bytes.into() });
+        if self.saving.wants_staged() {
+            return; // answered when it is offered again and durable
+        }
+        self.send(&from, Body::Staged { announcement }, out);
+    }
+
+    pub(super) fn keep_staged(&mut self, now: Nanos, content: StagedContent) {
+        if self.tuning.defect == Some(Defect::AppliesUncommitted) {
+            self.log.announcement = Some(content.announcement);
+        }
+        self.staged.push_back((now, content));
+        let bytes = |staged: &std::collections::VecDeque<(Nanos, StagedContent)>| {
+            staged.iter().map(|(_, content)| content.bytes.len()).sum::<usize>()
+        };
+        while self.staged.len() > MAX_STAGED || bytes(&self.staged) > MAX_CONTENT + MAX_CONTENT / 2 {
+            self.staged.pop_front();
+        }
+        if self.tuning.disk {
+            let staged = self.staged.iter().map(|(_, content)| content.clone()).collect();
+            self.saving.stage(Write::Staged(staged));
+        }
+    }
+}
--- /dev/null
+++ b/crates/distribution/src/saved.rs
@@ -0,0 +1,94 @@
+//! What is kept on the disk, by files of the store.
+
+use std::sync::Arc;
+
+use merlinfold_store::{Disk, Fault, File};
+use serde::{Deserialize, Serialize};
+
+use crate::revision::{Announcement, Digest};
+use crate::wire::Transfer;
+
+/// Version of the files' form.
+pub const SAVED_VERSION: u8 = 1;
+const IN_FORCE: &str = "configuration";
+const STAGED: &str = "configuration-staged";
+
+/// A whole document, as it was announced.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// How.
+    pub announcement: Announcement,
+    /// It, in its canonical encoding.
+    pub bytes: Arc<[u8]>,
+}
+
+/// Content of a revision that is not announced yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StagedContent {
+    /// How it is to be announced.
+    pub announcement: Announcement,
+    /// Digest of the document that a chain begins at.
+    pub base: Option<Digest>,
+    /// What it is.
+    pub transfer: Transfer,
+    /// The chain or the document.
+    pub bytes: Arc<[u8]>,
+}
+
+/// What a disk holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Saved {
+    /// The revision that was in force.
+    pub in_force: Option<Document>,
+    /// Content that was staged here.
+    pub staged: Vec<StagedContent>,
+}
+
+/// A write that is wanted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Write {
+    /// The revision in force.
+    InForce(Document),
+    /// All that is staged.
+    Staged(Vec<StagedContent>),
+    /// The revision on the disk is not of this log: it is renamed.
+    SetAside,
+}
+
+fn file(kind: &str, node: &str) -> File {
+    File::new(kind, node, SAVED_VERSION)
+}
+
+impl Write {
+    /// Makes it durable. Without a fault it survives a crash; with one, what was there before is still there.
+    pub fn save(&self, disk: &dyn Disk, node: &str) -> Result<(), Fault> {
+        match self {
+            Write::InForce(document) => file(IN_FORCE, node).save(disk, document),
+            Write::Staged(staged) => file(STAGED, node).save(disk, staged),
+            Write::SetAside => {
+                let name = file(IN_FORCE, node).name().to_owned();
+                let renamed = disk.rename(&name, &format!("{name}.set-aside"));
+                renamed.map_err(|error| Fault::Disk { step: "setting aside", error })
+            }
+        }
+    }
+}
+
+impl Saved {
+    /// What the disk holds and can be believed; files that cannot be are named, and set aside where they are there.
+    pub fn load(disk: &dyn Disk, node: &str) -> (Self, Vec<Fault>) {
+        let mut faults = Vec::new();
+        let in_force: Option<Document> =
+            file(IN_FORCE, node).load(disk).unwrap_or_else(|fault| note(&mut faults, fault));
+        let staged: Option<Vec<StagedContent>> =
+            file(STAGED, node).load(disk).unwrap_or_else(|fault| note(&mut faults, fault));
+        // The checksum is of the file; the digest tells also what was wrong before it was written.
+        let in_force = in_force.filter(|document| document.announcement.matches(&document.bytes));
+        (Saved { in_force, staged: staged.unwrap_or_default() }, faults)
+    }
+}
+
+fn note<T>(faults: &mut Vec<Fault>, fault: Fault) -> Option<T> {
+    faults.push(fault);
+    None
+}
