Play the distribution of configuration in virtual time, and mend what it found

Need: the laws of docs/design/configuration.md have to hold through loss, splits, restarts, full disks and bursts. Found and mended: a node far behind in a burst asked for what had moved on (a holder that is ahead now offers its document as a base), small transfers took the place of large ones, nodes that are known to hold a revision are asked first, pieces wait for the budget instead of being dropped.

--- a/crates/distribution/src/bounds.rs
+++ b/crates/distribution/src/bounds.rs
@@ -12,10 +12,12 @@
 pub const MAX_HISTORY: usize = 128;
 /// Bytes of these deltas.
 pub const MAX_HISTORY_BYTES: usize = 4 << 20;
+/// A chain of so many bytes is sent in any case, also where the document is shorter: a history without gaps is worth it.
+pub const CHAIN_ALWAYS: usize = 64 << 10;
+/// Attempts after which a document that was fetched as a base, and from which no chain leads on, is dropped.
+pub const BASE_ATTEMPTS: u32 = 25;
 /// Whole documents kept for nodes that fetch them: the last one, and the one before.
 pub const MAX_SNAPSHOTS: usize = 2;
-/// Bundles of deltas kept while they are being fetched.
-pub const MAX_BUNDLES: usize = 4;
 /// Contents that a voter keeps before they are announced.
 pub const MAX_STAGED: usize = 4;
 /// After so long content that was not announced is dropped.
@@ -26,7 +28,7 @@
 pub const MAX_ANNOUNCEMENTS: usize = 128;
 
 /// Pieces under way to one node.
-pub const WINDOW: usize = 32;
+pub const WINDOW: usize = 64;
 /// Pieces asked for in one datagram.
 pub const MAX_PIECES_PULLED: usize = 16;
 /// Without an answer after so long a request or a pull is repeated.
@@ -37,21 +39,31 @@
 pub const RETRY_MIN: Nanos = 40 * MS;
 /// The longest.
 pub const RETRY_MAX: Nanos = SECOND;
-/// Attempts after which the time between two stops growing.
-pub const RETRY_DOUBLINGS: u32 = 5;
+/// How often the time between two attempts is doubled at most, at first.
+pub const RETRY_DOUBLINGS: u32 = 2;
+/// After so many attempts nobody may have the content, and it is doubled up to [`RETRY_MAX`].
+pub const PATIENT_AFTER: u32 = 60;
+/// After so long without an offer a later revision is asked for, if there is one. Not at once: few have it yet.
+pub const RETARGET_AFTER: Nanos = 2 * SECOND;
 /// A node that has just started waits up to so long before it fetches.
 pub const START_SPREAD: Nanos = SECOND;
 
+/// A transfer of more bytes than this is a large one.
+pub const LARGE_TRANSFER: usize = 32 << 10;
 /// Transfers of more than one piece that a node serves at once.
+pub const MAX_SERVED: usize = 64;
+/// Large ones among them.
 pub const MAX_TRANSFERS: usize = 4;
 /// The same at a voter.
-pub const MAX_VOTER_TRANSFERS: usize = 2;
+pub const MAX_VOTER_TRANSFERS: usize = 1;
 /// A transfer without a pull for so long gives up its place.
-pub const TRANSFER_LASTS: Nanos = SECOND;
+pub const TRANSFER_LASTS: Nanos = 600 * MS;
 /// Bytes a second that a node serves.
 pub const SERVE_RATE: u64 = 4_000_000;
 /// Bytes a second that a voter serves.
-pub const VOTER_SERVE_RATE: u64 = 1_000_000;
+pub const VOTER_SERVE_RATE: u64 = 2_000_000;
+/// Pieces that wait to be served at that rate.
+pub const MAX_QUEUED: usize = 512;
 /// Bytes a second that a node fetches while it catches up after a start, unless it is told otherwise.
 pub const CATCH_UP_RATE: u64 = 1_000_000;
 /// Share of a second's rate that may pass at once: one in so many.
@@ -59,6 +71,8 @@
 
 /// Between two reports of a node.
 pub const REPORT_EVERY: Nanos = SECOND;
+/// After a revision has come into force it is reported within this.
+pub const REPORT_SOON: Nanos = 200 * MS;
 /// Reports of nodes in one datagram.
 pub const MAX_REPORTS_SENT: usize = 32;
 /// Reports of nodes that are held.
@@ -67,7 +81,7 @@
 pub const REPORT_LASTS: Nanos = 60 * SECOND;
 
 /// The content of a publication has to reach a majority of the voters within this.
-pub const STAGE_WITHIN: Nanos = 8 * SECOND;
+pub const STAGE_WITHIN: Nanos = 10 * SECOND;
 /// Between two offers of it to a voter that has not answered.
 pub const OFFER_EVERY: Nanos = 300 * MS;
 /// Between two writes of the revision in force.
--- a/crates/distribution/src/machine/applying.rs
+++ b/crates/distribution/src/machine/applying.rs
@@ -4,14 +4,26 @@
 
 use super::fetching::Fetch;
 use super::{Action, Distribution, Note};
-use crate::bounds::MAX_CONTENT;
+use crate::bounds::{MAX_CONTENT, REPORT_SOON};
 use crate::config::{Defect, Nanos};
 use crate::content::Rejection;
 use crate::history::Link;
-use crate::revision::Announcement;
-use crate::saved::Document;
+use crate::revision::{Announcement, Digest, RevisionId};
+use crate::saved::{Document, StagedContent};
 use crate::wire::TransferKind;
 
+/// A document that deltas may lead on from. Nobody has to vouch for it: what is applied is the result, whose digest the
+/// log announces.
+#[derive(Debug)]
+pub struct Base {
+    /// Which revision it is said to be.
+    pub id: RevisionId,
+    /// Its digest.
+    pub digest: Digest,
+    /// It.
+    pub bytes: Arc<[u8]>,
+}
+
 /// What the machine is busy with on the way to the next revision.
 #[derive(Debug)]
 pub enum Work {
@@ -74,6 +86,7 @@
 
     /// Begins with the next revision where nothing is under way, and goes on with what is.
     pub(super) fn work(&mut self, now: Nanos, out: &mut Vec<Action>) {
+        self.stop_for_staged();
         if self.work.is_idle() {
             match self.target() {
                 Some(target) => self.begin(now, target, out),
@@ -101,18 +114,32 @@
             self.hold(document.clone());
             return self.apply(document, out);
         }
-        let held = self.held_digest();
-        let staged = self.staged.iter().find(|(_, staged)| {
-            let fits = staged.transfer.kind == TransferKind::Snapshot || staged.base == held;
-            staged.announcement == target && fits
-        });
-        if let Some((_, staged)) = staged {
+        if let Some(staged) = self.staged_for_target(&target) {
             let (kind, bytes) = (staged.transfer.kind, staged.bytes.clone());
             return self.received(now, target, kind, &bytes, out);
         }
         self.work = Work::Fetching(Box::new(Fetch::new(target, now.max(self.fetch_after))));
     }
 
+    /// Content that was staged here and leads to this revision.
+    fn staged_for_target(&self, target: &Announcement) -> Option<&StagedContent> {
+        let base = self.base_digest();
+        let leads = |staged: &&StagedContent| {
+            let from_here = staged.transfer.kind == TransferKind::Snapshot || staged.base == base;
+            staged.announcement == *target && from_here
+        };
+        self.staged.iter().map(|(_, staged)| staged).find(leads)
+    }
+
+    /// Fetches no longer what is not coming, where a later revision is staged here.
+    fn stop_for_staged(&mut self) {
+        let Work::Fetching(fetch) = &self.work else { return };
+        let staged = self.target().is_some_and(|target| self.staged_for_target(&target).is_some());
+        if staged && !fetch.is_downloading() {
+            self.work = Work::Idle;
+        }
+    }
+
     /// All of a transfer has come, and has the digest that it was offered with.
     pub(super) fn received(
         &mut self, now: Nanos, target: Announcement, kind: TransferKind, bytes: &[u8], out: &mut Vec<Action>,
@@ -121,7 +148,9 @@
             TransferKind::Snapshot => self.verified(now, target, Arc::from(bytes), Vec::new(), out),
             TransferKind::Chain => {
                 let chain: Vec<Link> = postcard::from_bytes(bytes).unwrap_or_default();
-                let base = self.held.as_ref().map_or_else(|| Arc::from([]), |held| held.bytes.clone());
+                let held = self.held.as_ref().map(|held| &held.bytes);
+                let base = self.base.as_ref().map(|base| &base.bytes).or(held).cloned();
+                let base = base.unwrap_or_else(|| Arc::from([]));
                 let deltas = chain.iter().map(|link| link.delta.clone()).collect();
                 self.work = Work::Composing { target, chain };
                 out.push(Action::Compose { base, deltas });
@@ -151,7 +180,7 @@
         if !target.matches(&bytes) && !trusts {
             return self.bad_chain(now, target, out);
         }
-        if let Some(base) = self.held_digest() {
+        if let Some(base) = self.base_digest() {
             self.history.add_chain(base, chain);
         }
         let document = Document { announcement: target, bytes };
@@ -163,12 +192,19 @@
     fn bad_chain(&mut self, now: Nanos, target: Announcement, out: &mut Vec<Action>) {
         out.push(Action::Tell(Note::BadChain(target.id)));
         self.staged.retain(|(_, staged)| staged.announcement != target);
+        self.base = None;
         self.work = Work::Fetching(Box::new(Fetch::snapshot(target, now)));
     }
 
     fn hold(&mut self, document: Document) {
         self.history.add_snapshot(document.announcement, document.bytes.clone());
         self.held = Some(document);
+        self.base = None;
+    }
+
+    /// The digest of what deltas can be applied to here.
+    pub(super) fn base_digest(&self) -> Option<Digest> {
+        self.base.as_ref().map(|base| base.digest).or_else(|| self.held_digest())
     }
 
     fn apply(&mut self, document: Document, out: &mut Vec<Action>) {
@@ -186,7 +222,8 @@
             Ok(()) => {
                 self.in_force = Some(document);
                 (self.refused, self.forsaken) = (None, false);
-                self.report_at = self.report_at.min(now + crate::bounds::REPORT_EVERY);
+                // Others look for it.
+                self.report_at = self.report_at.min(now + self.rng.u64(0..REPORT_SOON));
                 out.push(Action::Tell(Note::InForce(announcement)));
             }
             Err(Rejection(why)) => self.refuse(announcement, why, out),
--- a/crates/distribution/src/machine/fetching.rs
+++ b/crates/distribution/src/machine/fetching.rs
@@ -1,8 +1,11 @@
 //! From whom content is fetched, and at which pace.
 
-use super::applying::Work;
+use super::applying::{Base, Work};
 use super::{Action, Distribution, Note};
-use crate::bounds::{ANSWER_WITHIN, MAX_PIECES_PULLED, PIECE_BYTES, RETRY_DOUBLINGS, RETRY_MAX, RETRY_MIN};
+use crate::bounds::{
+    ANSWER_WITHIN, BASE_ATTEMPTS, MAX_PIECES_PULLED, PATIENT_AFTER, PIECE_BYTES, RETARGET_AFTER,
+    RETRY_DOUBLINGS, RETRY_MAX, RETRY_MIN,
+};
 use crate::config::{Defect, Name, Nanos, Peer};
 use crate::fetch::Download;
 use crate::revision::{Announcement, Digest, RevisionId};
@@ -16,7 +19,9 @@
     /// Attempts that were begun.
     pub attempt: u32,
     snapshot: bool, // only as such
+    since: Nanos,   // when this revision was first asked for
     phase: Phase,
+    makes: RevisionId,         // what the transfer under way leads to
     partial: Option<Download>, // what has come of a transfer that was given up: another node may have the same
 }
 
@@ -30,7 +35,20 @@
 impl Fetch {
     /// One that begins then.
     pub fn new(target: Announcement, at: Nanos) -> Self {
-        Fetch { target, attempt: 0, snapshot: false, phase: Phase::Waiting { until: at }, partial: None }
+        Fetch {
+            target,
+            attempt: 0,
+            snapshot: false,
+            since: at,
+            phase: Phase::Waiting { until: at },
+            makes: target.id,
+            partial: None,
+        }
+    }
+
+    /// Whether pieces are coming.
+    pub fn is_downloading(&self) -> bool {
+        matches!(self.phase, Phase::Downloading(_))
     }
 
     /// One of the whole document only.
@@ -82,8 +100,9 @@
 
     /// The next attempt, later after each failure.
     fn retry(&mut self, now: Nanos, fetch: &mut Fetch, busy: bool) {
-        let doublings = (fetch.attempt / SOURCES.len() as u32).min(RETRY_DOUBLINGS) + u32::from(busy);
-        let wait = (RETRY_MIN << doublings).min(RETRY_MAX);
+        let patient = if fetch.attempt < PATIENT_AFTER { RETRY_DOUBLINGS } else { u32::BITS };
+        let doublings = (fetch.attempt / SOURCES.len() as u32).min(patient) + u32::from(busy);
+        let wait = (RETRY_MIN << doublings.min(u32::BITS / 2)).min(RETRY_MAX);
         let until = now + wait + self.rng.u64(0..wait);
         if let Phase::Downloading(download) = std::mem::replace(&mut fetch.phase, Phase::Waiting { until }) {
             fetch.partial = Some(download);
@@ -91,22 +110,36 @@
     }
 
     fn ask(&mut self, now: Nanos, fetch: &mut Fetch, out: &mut Vec<Action>) {
-        if let Some(latest) = self.target().filter(|latest| latest.id != fetch.target.id) {
-            // Superseded while nothing had come of it.
-            fetch.target = latest;
+        if fetch.attempt >= BASE_ATTEMPTS {
+            self.base = None;
+        }
+        let again = now >= fetch.since + RETARGET_AFTER || self.base.is_some();
+        if let Some(latest) = self.target().filter(|latest| again && latest.id != fetch.target.id) {
+            (fetch.target, fetch.since) = (latest, now);
             fetch.partial = None;
         }
+        if self.base.as_ref().is_some_and(|base| base.id > fetch.target.id) {
+            fetch.attempt += 1;
+            return self.retry(now, fetch, false); // the log here will come to it
+        }
         let source = SOURCES[fetch.attempt as usize % SOURCES.len()];
         fetch.attempt += 1;
-        let Some(from) = self.source(source) else { return self.retry(now, fetch, false) };
-        let have = self.held_digest();
-        let request = Body::Request { have, want: fetch.target.id, snapshot: fetch.snapshot };
+        let Some(from) = self.source(now, source, fetch.target.id) else {
+            return self.retry(now, fetch, false);
+        };
+        let have = self.base_digest();
+        let request = Body::Request {
+            have,
+            want: fetch.target.id,
+            digest: fetch.target.digest,
+            snapshot: fetch.snapshot,
+        };
         self.send(&from, request, out);
         fetch.phase = Phase::Asked { from, until: now + ANSWER_WITHIN };
     }
 
-    /// A node to ask; any live one where there is none of that kind.
-    fn source(&mut self, source: Source) -> Option<Name> {
+    /// A node to ask, one that is known to have it if there is any; any live one where there is none of that kind.
+    fn source(&mut self, now: Nanos, source: Source, want: RevisionId) -> Option<Name> {
         let zone = self.id.zone.clone();
         let fits = |peer: &&Peer| match source {
             Source::Near => !peer.votes && peer.zone == zone,
@@ -115,12 +148,18 @@
         };
         let alive = self.peers.iter().filter(|peer| peer.alive);
         let fitting: Vec<&Peer> = alive.clone().filter(fits).collect();
-        let chosen = if fitting.is_empty() { alive.collect() } else { fitting };
+        let fitting = if fitting.is_empty() { alive.collect() } else { fitting };
+        let has = |peer: &&Peer| self.known_at(now, &peer.name).is_some_and(|id| id >= want);
+        let having: Vec<&Peer> = fitting.iter().copied().filter(has).collect();
+        // Not always: what is known may be old, and the few that are known to have it may be busy.
+        let any = having.is_empty() || self.rng.u8(0..4) == 0;
+        let chosen = if any { fitting } else { having };
         (!chosen.is_empty()).then(|| chosen[self.rng.usize(0..chosen.len())].name.clone())
     }
 
     pub(super) fn offered(
-        &mut self, now: Nanos, from: &Name, want: RevisionId, transfer: Transfer, first: &[u8],
+        &mut self, now: Nanos, from: &Name, want: RevisionId, makes: RevisionId, transfer: Transfer,
+        first: &[u8],
     ) {
         let Work::Fetching(fetch) = &mut self.work else { return };
         let asked = matches!(&fetch.phase, Phase::Asked { from: asked, .. } if asked == from);
@@ -129,8 +168,7 @@
         }
         let whole = transfer.kind == TransferKind::Snapshot;
         let is_target = transfer.digest == fetch.target.digest && transfer.length == fetch.target.length;
-        let verifies = self.tuning.defect != Some(Defect::SkipsVerification);
-        let fits = if whole { is_target || !verifies } else { !fetch.snapshot };
+        let fits = if whole { is_target || makes != want } else { !fetch.snapshot && makes == want };
         let partial = fetch.partial.take().filter(|partial| partial.transfer == transfer);
         let download = match partial {
             Some(mut partial) => {
@@ -141,6 +179,7 @@
         };
         let Some(mut download) = download.filter(|_| fits) else { return };
         download.take(now, 0, first);
+        fetch.makes = makes;
         fetch.phase = Phase::Downloading(download);
     }
 
@@ -178,7 +217,11 @@
             self.work = Work::Fetching(Box::new(fetch));
             return;
         }
-        self.received(now, fetch.target, transfer.kind, &bytes, out);
+        if fetch.makes == fetch.target.id {
+            return self.received(now, fetch.target, transfer.kind, &bytes, out);
+        }
+        self.base = Some(Base { id: fetch.makes, digest: transfer.digest, bytes: bytes.into() });
+        self.work = Work::Fetching(Box::new(Fetch::new(fetch.target, now)));
     }
 }
 
@@ -190,8 +233,7 @@
             None => MAX_PIECES_PULLED,
         };
         if budget == 0 {
-            let wait =
-                node.catching_up.as_mut().map(|budget| budget.when(now, MAX_PIECES_PULLED * PIECE_BYTES));
+            let wait = node.catching_up.as_ref().map(|budget| budget.when(MAX_PIECES_PULLED * PIECE_BYTES));
             node.fetch_after = wait.unwrap_or(now);
             return;
         }
--- a/crates/distribution/src/machine/mod.rs
+++ b/crates/distribution/src/machine/mod.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::bounds::{REPORT_EVERY, SERVE_RATE, START_SPREAD, VOTER_SERVE_RATE};
+use crate::bounds::{REPORT_EVERY, SERVE_RATE, START_SPREAD};
 use crate::config::{Identity, Name, Nanos, Peer, Tuning};
 use crate::content::{Delta, Rejection};
 use crate::history::History;
@@ -22,10 +22,11 @@
 use crate::saved::{Document, Saved, StagedContent, Write};
 use crate::server::{Budget, Server};
 use crate::wire::{self, encode, Body, Envelope};
-use applying::Work;
+use applying::{Base, Work};
 use publishing::InPublication;
 pub use publishing::{ProposalError, Publication, PublishError, Ticket};
 use saving::Saving;
+use serving::Wanted;
 use staging::Staging;
 
 /// How the agreed log stands at this node.
@@ -131,6 +132,7 @@
     contradicted: Option<Nanos>, // since when a fresh log is lower than what is held
     announcements: BTreeMap<RevisionId, Announcement>,
     held: Option<Document>, // verified, whether or not it could be applied
+    base: Option<Base>,     // fetched, and not verified but by what deltas make of it
     in_force: Option<Document>,
     forsaken: bool, // what is in force was set aside, and serves until something else can
     refused: Option<(RevisionId, String)>,
@@ -169,6 +171,7 @@
             contradicted: None,
             announcements: BTreeMap::new(),
             held: None,
+            base: None,
             in_force: None,
             forsaken: false,
             refused: None,
@@ -220,7 +223,7 @@
         let publications = self.publications.values().map(InPublication::due);
         let staging = self.staging.iter().map(Staging::due);
         let set_aside = self.contradicted.iter().map(|since| since + crate::bounds::SET_ASIDE_AFTER);
-        let all = publications.chain(staging).chain(set_aside);
+        let all = publications.chain(staging).chain(set_aside).chain(self.server.due());
         all.chain(self.work_due()).chain(self.saving_due()).fold(self.report_at, Nanos::min)
     }
 
@@ -230,6 +233,7 @@
         self.work(now, out);
         self.stage_more(now, out);
         self.push_publications(now, out);
+        self.serve(now, out);
         self.report(now, out);
         self.save(now, out);
     }
@@ -238,7 +242,6 @@
         self.votes = peers.iter().any(|peer| peer.name == self.id.name && peer.votes);
         self.peers = peers;
         self.peers.retain(|peer| peer.name != self.id.name);
-        self.server.budget.set_rate(if self.votes { VOTER_SERVE_RATE } else { SERVE_RATE });
     }
 
     fn fault(&mut self, fault: wire::Fault) {
@@ -250,6 +253,11 @@
         &self.faults
     }
 
+    /// Who is there, as this node was told last; it is not among them.
+    pub fn peers(&self) -> &[Peer] {
+        &self.peers
+    }
+
     /// Bytes sent since the start.
     pub fn sent_bytes(&self) -> u64 {
         self.sent_bytes
@@ -305,9 +313,13 @@
     fn hear(&mut self, now: Nanos, envelope: Envelope, out: &mut Vec<Action>) {
         let Envelope { from, body, .. } = envelope;
         match body {
-            Body::Request { have, want, snapshot } => self.requested(now, &from, have, want, snapshot, out),
-            Body::Pull { digest, pieces } => self.pulled(now, &from, digest, &pieces, out),
-            Body::Offer { want, transfer, first } => self.offered(now, &from, want, transfer, &first),
+            Body::Request { have, want, digest, snapshot } => {
+                self.requested(now, &from, have, Wanted { id: want, digest, snapshot }, out);
+            }
+            Body::Pull { digest, pieces } => self.pulled(now, &from, digest, &pieces),
+            Body::Offer { want, makes, transfer, first } => {
+                self.offered(now, &from, want, makes, transfer, &first);
+            }
             Body::Missing { want } => self.denied(now, &from, want, false),
             Body::Busy { want } => self.denied(now, &from, want, true),
             Body::Piece { digest, number, bytes } => self.piece(now, digest, number, &bytes),
--- a/crates/distribution/src/server.rs
+++ b/crates/distribution/src/server.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-use crate::bounds::{BURST_PARTS, MAX_BUNDLES, TRANSFER_LASTS};
+use crate::bounds::{BURST_PARTS, LARGE_TRANSFER, MAX_QUEUED, MAX_SERVED, PIECE_BYTES, TRANSFER_LASTS};
 use crate::config::{Name, Nanos, SECOND};
 use crate::revision::Digest;
 
@@ -49,57 +49,93 @@
         enough
     }
 
-    /// When so many bytes will be there.
-    pub fn when(&mut self, now: Nanos, bytes: usize) -> Nanos {
-        let lacks = (bytes as u64).saturating_sub(self.left(now));
-        now + lacks.saturating_mul(SECOND) / self.rate.max(1)
+    /// When so many bytes will be there, if nothing is spent before.
+    pub fn when(&self, bytes: usize) -> Nanos {
+        let lacks = (bytes as u64).saturating_sub(self.left);
+        self.at + lacks.saturating_mul(SECOND).div_ceil(self.rate.max(1))
     }
 }
 
+/// A piece that somebody waits for.
+#[derive(Clone, Debug)]
+pub struct Queued {
+    /// Who.
+    pub to: Name,
+    /// Of which transfer.
+    pub digest: Digest,
+    /// Its number.
+    pub number: u16,
+}
+
+/// A transfer of more than one piece that somebody fetches.
+#[derive(Clone, Debug)]
+struct Serving {
+    digest: Digest,
+    content: Arc<[u8]>,
+    until: Nanos, // without a further pull
+}
+
 /// Transfers that others fetch from here.
 #[derive(Clone, Debug)]
 pub struct Server {
     /// Bytes that may be sent.
     pub budget: Budget,
-    bundles: VecDeque<(Digest, Arc<[u8]>)>,
-    transfers: BTreeMap<Name, Nanos>, // who fetches more than one piece, and until when without a further pull
+    queue: VecDeque<Queued>,
+    transfers: BTreeMap<Name, Serving>,
 }
 
 impl Server {
     /// One that serves nobody yet.
     pub fn new(rate: u64, now: Nanos) -> Self {
-        Server { budget: Budget::new(rate, now), bundles: VecDeque::new(), transfers: BTreeMap::new() }
+        Server { budget: Budget::new(rate, now), queue: VecDeque::new(), transfers: BTreeMap::new() }
     }
 
-    /// Whether this node may fetch; it then has a place as long as it goes on.
-    pub fn admit(&mut self, now: Nanos, to: &Name, limit: usize) -> bool {
-        self.transfers.retain(|_, until| *until > now);
-        if self.transfers.len() >= limit && !self.transfers.contains_key(to) {
+    /// Whether this node may fetch this beside `limit` large transfers at most; it then has a place as long as it goes on.
+    pub fn admit(
+        &mut self, now: Nanos, to: &Name, digest: Digest, content: &Arc<[u8]>, limit: usize,
+    ) -> bool {
+        self.transfers.retain(|_, serving| serving.until > now);
+        let is_large = |content: &Arc<[u8]>| content.len() > LARGE_TRANSFER;
+        let others = || self.transfers.iter().filter(|(name, _)| *name != to).map(|(_, serving)| serving);
+        let large = others().filter(|serving| is_large(&serving.content)).count();
+        if is_large(content) && large >= limit || others().count() >= MAX_SERVED {
             return false;
         }
-        self.transfers.insert(to.clone(), now + TRANSFER_LASTS);
+        let serving = Serving { digest, content: content.clone(), until: now + TRANSFER_LASTS };
+        self.transfers.insert(to.clone(), serving);
         true
     }
 
     /// A node that fetches has pulled again.
     pub fn touch(&mut self, now: Nanos, to: &Name) {
-        if let Some(until) = self.transfers.get_mut(to) {
-            *until = now + TRANSFER_LASTS;
+        if let Some(serving) = self.transfers.get_mut(to) {
+            serving.until = now + TRANSFER_LASTS;
         }
     }
 
-    /// Keeps a bundle for as long as it may be pulled.
-    pub fn keep(&mut self, digest: Digest, bundle: Arc<[u8]>) {
-        if self.bundle(digest).is_none() {
-            self.bundles.push_back((digest, bundle));
+    /// What a node that was admitted fetches.
+    pub fn content(&self, to: &Name, digest: Digest) -> Option<Arc<[u8]>> {
+        let serving = self.transfers.get(to).filter(|serving| serving.digest == digest);
+        serving.map(|serving| serving.content.clone())
+    }
+
+    /// Has a piece served when its turn comes; what there is no room for is asked for again.
+    pub fn queue(&mut self, piece: Queued) {
+        if self.queue.len() < MAX_QUEUED {
+            self.queue.push_back(piece);
         }
-        if self.bundles.len() > MAX_BUNDLES {
-            self.bundles.pop_front();
+    }
+
+    /// The next piece that there is a budget for.
+    pub fn next(&mut self, now: Nanos) -> Option<Queued> {
+        if self.queue.is_empty() || !self.budget.spend(now, PIECE_BYTES) {
+            return None;
         }
+        self.queue.pop_front()
     }
 
-    /// A bundle that is kept.
-    pub fn bundle(&self, digest: Digest) -> Option<Arc<[u8]>> {
-        self.bundles.iter().find(|(kept, _)| *kept == digest).map(|(_, bundle)| bundle.clone())
+    /// When the next piece can be served.
+    pub fn due(&self) -> Option<Nanos> {
+        (!self.queue.is_empty()).then(|| self.budget.when(PIECE_BYTES))
     }
 }
--- a/crates/distribution/src/wire.rs
+++ b/crates/distribution/src/wire.rs
@@ -82,6 +82,8 @@
         have: Option<Digest>,
         /// Which revision.
         want: RevisionId,
+        /// Digest of its document, as the log announces it.
+        digest: Digest,
         /// Only as a snapshot: deltas did not lead to it.
         snapshot: bool,
     },
@@ -89,6 +91,9 @@
     Offer {
         /// Which revision was asked for.
         want: RevisionId,
+        /// Which revision the transfer makes: a later one where the sender is ahead and has no deltas to what was asked
+        /// for. It is then a base, to be verified by what deltas make of it.
+        makes: RevisionId,
         /// As what.
         transfer: Transfer,
         /// The first piece.
--- /dev/null
+++ b/crates/trial/src/configuration/node.rs
@@ -0,0 +1,132 @@
+//! One node of a player: its machine, its disk, and what is wrong with it.
+
+use std::net::SocketAddr;
+
+use merlinfold_distribution::{
+    Action, Defect, Distribution, Identity, Name, Peer, RevisionId, Saved, Tuning,
+};
+use merlinfold_world::seed::mix;
+use merlinfold_world::Nanos;
+
+use super::player::World;
+use crate::disk::ModelDisk;
+use crate::spec::Kept;
+
+/// The greatest format that nodes know; those of [`Node::is_old`] know one less.
+pub const MAX_FORMAT: u16 = 2;
+
+/// A node and its surroundings.
+pub struct Node {
+    /// Its name.
+    pub name: Name,
+    /// Its machine, while the process is up.
+    pub machine: Option<Distribution>,
+    /// Whether its processor is stopped.
+    pub paused: bool,
+    /// How often it was started.
+    pub starts: u64,
+    /// For when a tick is scheduled.
+    pub scheduled: Option<Nanos>,
+    /// Its disk.
+    pub disk: ModelDisk,
+    /// Since when it is down or paused.
+    pub down_since: Option<Nanos>,
+    /// Faults that it suffers from now.
+    pub troubles: usize,
+    /// When the last of them ended.
+    pub untroubled_since: Nanos,
+    /// Bytes that earlier processes of it sent.
+    pub sent: u64,
+    /// Whether it is of a version that does not know the latest format.
+    pub is_old: bool,
+    /// Whether it damages the pieces that it sends.
+    pub is_corrupt: bool,
+    /// A number of which it refuses the revision.
+    pub refuses: Option<u64>,
+}
+
+impl Node {
+    /// One that was never up.
+    pub fn new(seed: u64, number: usize) -> Self {
+        Node {
+            name: format!("n{number}").into(),
+            machine: None,
+            paused: false,
+            starts: 0,
+            scheduled: None,
+            disk: ModelDisk::new(seed, number as u64),
+            down_since: None,
+            troubles: 0,
+            untroubled_since: 0,
+            sent: 0,
+            is_old: false,
+            is_corrupt: false,
+            refuses: None,
+        }
+    }
+
+    /// Whether it is up and not paused.
+    pub fn is_up(&self) -> bool {
+        self.machine.is_some() && !self.paused
+    }
+
+    /// Whether nothing has been wrong with it since then.
+    pub fn is_untroubled_since(&self, since: Nanos) -> bool {
+        self.is_up() && self.troubles == 0 && self.untroubled_since <= since
+    }
+
+    /// The revision in force at it.
+    pub fn in_force(&self) -> Option<RevisionId> {
+        let document = self.machine.as_ref().and_then(Distribution::in_force);
+        document.map(|document| document.announcement.id)
+    }
+
+    /// Starts a process of it with what the disk holds, and says what it wants done and which revision it found.
+    pub fn start(
+        &mut self, world: &World, number: usize, kept: Kept, defect: Option<Defect>, now: Nanos,
+    ) -> Vec<Action> {
+        self.starts += 1;
+        (self.paused, self.down_since, self.scheduled) = (false, None, None);
+        self.disk.start(if world.lasting { kept } else { Kept::Empty }, None);
+        let saved = if world.lasting { Saved::load(&self.disk, &self.name).0 } else { Saved::default() };
+        let id = Identity { cluster: 7, name: self.name.clone(), zone: world.trial.zone(number).into() };
+        let max_format = MAX_FORMAT - u16::from(self.is_old);
+        let tuning = Tuning { max_format, disk: world.lasting, defect, ..Tuning::default() };
+        let seed = mix(world.trial.seed ^ mix(number as u64 + (self.starts << 20)));
+        let mut out = Vec::new();
+        self.machine = Some(Distribution::new(id, tuning, saved, seed, now, &mut out));
+        out
+    }
+
+    /// Its process is gone.
+    pub fn end(&mut self, now: Nanos) {
+        if let Some(machine) = self.machine.take() {
+            self.sent += machine.sent_bytes();
+        }
+        (self.scheduled, self.paused) = (None, false);
+        self.down_since.get_or_insert(now);
+    }
+}
+
+/// Where a node hears datagrams.
+pub fn address(node: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (node >> 8) as u8, node as u8], 7_947))
+}
+
+/// The node that hears datagrams there.
+pub fn number(at: SocketAddr) -> usize {
+    let SocketAddr::V4(at) = at else { return usize::MAX };
+    let [.., high, low] = at.ip().octets();
+    usize::from(high) << 8 | usize::from(low)
+}
+
+/// A node as the membership tells of it.
+pub fn peer(world: &World, node: &Node, number: usize, alive: bool) -> Peer {
+    Peer {
+        name: node.name.clone(),
+        address: address(number),
+        zone: world.trial.zone(number).into(),
+        alive,
+        votes: number < world.voters,
+    }
+}
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod agreed;
 pub mod catalogue;
+pub mod configuration;
 pub mod disk;
 pub mod doubles;
 pub mod html;
