Distribute configuration on the fleet's socket, off without its table

Need: the machine of crates/distribution has to run on real sockets and disks, and the program needs a handle to publish a revision and to see which is in force where. Change: crates/fleet/src/configuration plays it beside membership and log, told apart by its mark; work that may block runs on other threads; Fleet::serve_configuration takes the content and gives the handle; [fleet.configuration] with catch_up_kb_s, refused by name without [fleet.log]. The saving of the view moves out of run.rs, which had grown long, and a refusal by the log stays typed (NotAgreed::SetAside). The player of the trials is split into smaller modules.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,6 +12,8 @@
 //! assert_eq!((fault.line, fault.field.as_str()), (Some(2), "log.fromat"));
 //! ```
 
+mod distribution;
+
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -22,6 +24,8 @@
 use thiserror::Error;
 use tracing_subscriber::filter::{LevelFilter, Targets};
 
+pub use distribution::{Configuration, ConfigurationFault};
+
 /// All of `merlinfold.toml`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -78,6 +82,8 @@
     pub folder: Option<PathBuf>,
     /// The agreed log; none: nothing is agreed on.
     pub log: Option<AgreedLog>,
+    /// Distribution of configuration; none: a change reaches this node by its file alone.
+    pub configuration: Option<Configuration>,
 }
 
 /// Voters of the agreed log at most.
@@ -162,13 +168,15 @@
     seeds: Vec<SocketAddr>,
     folder: Option<PathBuf>,
     log: Option<AgreedLog>,
+    configuration: Option<Configuration>,
 }
 
 impl TryFrom<FleetTable> for Fleet {
     type Error = String;
 
     fn try_from(table: FleetTable) -> Result<Self, String> {
-        let FleetTable { cluster, listen, advertise, zone, machine, seeds, folder, log } = table;
+        let FleetTable { cluster, listen, advertise, zone, machine, seeds, folder, log, configuration } =
+            table;
         if advertise.unwrap_or(listen).ip().is_unspecified() {
             return Err("advertise: needed where listen names no address that others reach".to_owned());
         }
@@ -178,7 +186,10 @@
         if let Some(log) = &log {
             log.check(folder.as_ref()).map_err(|fault| fault.to_string())?;
         }
-        Ok(Fleet { cluster, listen, advertise, zone, machine, seeds, folder, log })
+        if let Some(configuration) = &configuration {
+            configuration.check(log.is_some()).map_err(|fault| fault.to_string())?;
+        }
+        Ok(Fleet { cluster, listen, advertise, zone, machine, seeds, folder, log, configuration })
     }
 }
 
@@ -311,12 +322,15 @@
                 voters: 3,
                 durability: Durability::None,
             }),
+            configuration: Some(Configuration::default()),
         };
         assert_eq!(config, Config { log: Log { modules, ..Log::default() }, fleet: Some(fleet) });
         assert_eq!(parse::<Config>(EXAMPLE).unwrap(), Config::default());
         let of_fleet = ["cluster", "listen", "advertise", "zone", "machine", "seeds", "folder"];
         let of_log = ["[fleet.log]", "candidates", "voters", "durability"];
-        for key in ["format", "level", "[log.modules]", "[fleet]"].into_iter().chain(of_fleet).chain(of_log) {
+        let of_configuration = ["[fleet.configuration]", "catch_up_kb_s"];
+        let of_tables = of_fleet.into_iter().chain(of_log).chain(of_configuration);
+        for key in ["format", "level", "[log.modules]", "[fleet]"].into_iter().chain(of_tables) {
             assert!(EXAMPLE.contains(key), "{key}");
         }
     }
@@ -338,6 +352,7 @@
             ("candidates = [\"a\", \"b\", \"c\"]\nvoters = 5\n".to_owned(), "as many as voters"),
             ("candidates = [\"a\", \"b\"]\nvoters = 2\n".to_owned(), "3, 5 or 7"),
             ("candidates = [\"a\", \"b\", \"b\"]\nvoters = 3\n".to_owned(), "twice"),
+            (format!("{three}[fleet.configuration]\ncatch_up_kb_s = 1\n"), "100 to 100000"),
         ] {
             let fault = table("", &log).unwrap_err();
             assert!(fault.to_string().contains(says), "{log}: {fault}");
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -29,4 +29,4 @@
 pub use overview::{NodeCount, Overview};
 pub use revision::{Announcement, Digest, RevisionId, FORMAT_UNKNOWN_ABOVE, REGISTER_KEY};
 pub use saved::{Document, Saved, StagedContent, Write, SAVED_VERSION};
-pub use wire::{encode, read, Body, Envelope, Fault, Report, Transfer, TransferKind, VERSION};
+pub use wire::{encode, read, Body, Envelope, Fault, Report, Transfer, TransferKind, MARK, VERSION};
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,11 +4,14 @@
 //! comes as [`Snapshot`]s. Nothing here decides, and nothing waits for a disk: files are read and written on threads
 //! of their own, one at a time.
 
+mod configuration;
 mod keeper;
 mod log;
 mod run;
+mod saving;
 mod snapshot;
 
+pub use configuration::{Change, ConfigurationHandle, ConfigurationView, RefusedRevision};
 pub use keeper::Disks;
 pub use log::{LogHandle, LogView, NotAgreed};
 pub use run::Fleet;
--- a/crates/fleet/src/log/handle.rs
+++ b/crates/fleet/src/log/handle.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use merlinfold_agree::command::{Command, Outcome, Set, Unsent, SET};
+use merlinfold_agree::command::{Command, Outcome, Refusal, Set, Unsent, SET};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -40,7 +40,7 @@
 pub enum NotAgreed {
     /// It was agreed that it changes nothing.
     #[error("set aside at all nodes: {0}")]
-    SetAside(String),
+    SetAside(Refusal),
     /// Nobody has confirmed it; it may still come to be.
     #[error("not confirmed in time: see whether most voters are up, then send it again under the same id")]
     Unconfirmed,
@@ -106,7 +106,7 @@
 impl From<Outcome> for NotAgreed {
     fn from(outcome: Outcome) -> Self {
         match outcome {
-            Outcome::SetAside(refusal) => NotAgreed::SetAside(refusal.to_string()),
+            Outcome::SetAside(refusal) => NotAgreed::SetAside(refusal),
             Outcome::Done(_) => NotAgreed::Unconfirmed,
         }
     }
--- a/crates/fleet/src/log/part.rs
+++ b/crates/fleet/src/log/part.rs
@@ -5,11 +5,12 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use merlinfold_agree::command::{CommandId, Outcome};
+use merlinfold_agree::command::{Command, CommandId, Outcome, Refusal, Set, SET};
 use merlinfold_agree::{
     Action, Agree, Event, Identity, Kept, Nanos, Note, Peer, Tuning, Write, DATAGRAM_MOST,
 };
 use merlinfold_config::{AgreedLog, Durability};
+use merlinfold_distribution::{Announcement, LogState, ProposalError, REGISTER_KEY};
 use merlinfold_membership::Membership;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_blocking;
@@ -17,6 +18,7 @@
 use tracing::{info, warn};
 
 use super::{Asked, LogView, NotAgreed};
+use crate::configuration::Proposal;
 use crate::keeper::Disks;
 
 const MARK: &[u8] = b"ma";
@@ -131,6 +133,45 @@
         }
     }
 
+    /// What the log announces to the distribution of configuration.
+    pub fn announced(&self, now: Nanos) -> LogState {
+        let standing = self.machine.standing(now);
+        let value = self.machine.state().value(REGISTER_KEY);
+        LogState {
+            epoch: standing.group.epoch,
+            value_revision: value.map_or(0, |value| value.revision),
+            fresh: standing.fresh,
+            announcement: value.and_then(|value| Announcement::decode(&value.value)),
+        }
+    }
+
+    /// Names of the nodes that vote.
+    pub fn voters(&self) -> Vec<String> {
+        self.machine.state().voters.values().cloned().collect()
+    }
+
+    /// Has an announcement agreed on, and its outcome told.
+    pub fn announce(&mut self, now: Nanos, proposal: Proposal) {
+        let set = Set {
+            key: REGISTER_KEY.to_owned(),
+            expect: Some(proposal.expect),
+            value: proposal.announcement.encode(),
+        };
+        let body = postcard::to_stdvec(&set).unwrap_or_default();
+        let (answer, answered) = oneshot::channel();
+        let id = fastrand::u128(1..);
+        self.ask(now, Asked { command: Command { id, kind: SET, body }, answer });
+        tokio::spawn(async move {
+            let outcome = match answered.await {
+                Ok(Ok(_)) => Ok(()),
+                Ok(Err(NotAgreed::SetAside(Refusal::Revision(_)))) => Err(ProposalError::Superseded),
+                Ok(Err(NotAgreed::Unconfirmed)) | Err(_) => Err(ProposalError::Unconfirmed),
+                Ok(Err(other)) => Err(ProposalError::NotTaken(other.to_string())),
+            };
+            proposal.tell(outcome).await;
+        });
+    }
+
     /// Datagrams that are to go out.
     pub fn outgoing(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
         std::mem::take(&mut self.to_send)
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -3,21 +3,24 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use merlinfold_config::Fleet as Settings;
+use merlinfold_distribution::Content;
 use merlinfold_membership::{
-    Action, Change, Event, Identity, Membership, Nanos, Profile, Tuning, DATAGRAM_MOST, SAVE_EVERY,
+    Action, Change, Event, Identity, Membership, Nanos, Profile, Tuning, DATAGRAM_MOST,
 };
 use socket2::{Domain, Socket, Type};
 use tokio::net::UdpSocket;
-use tokio::sync::watch;
-use tokio::task::JoinHandle;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
 use tracing::{debug, info, warn};
 
+use crate::configuration::{self, ConfigurationHandle, ConfigurationPart, Start};
 use crate::keeper::{Disks, Keeper};
-use crate::log::{channel, Asked, Asks, LogHandle, LogPart, LogView};
+use crate::log::{channel, Asks, LogHandle, LogPart, LogView};
+use crate::saving::Saving;
 use crate::snapshot::Snapshot;
 
 const READ_AT_ONCE: usize = 64; // datagrams between two looks at the time and at the rest of the process
@@ -34,6 +37,7 @@
     seen: watch::Sender<Snapshot>,
     disks: Disks,
     log: Option<(LogHandle, Asks, watch::Sender<LogView>)>,
+    configuration: Option<(Arc<dyn Content>, configuration::Asks, configuration::Tells)>,
 }
 
 impl Fleet {
@@ -47,7 +51,18 @@
         let socket = UdpSocket::from_std(socket.into())?;
         let (seen, sees) = watch::channel(Snapshot { me: name.to_owned(), ..Snapshot::default() });
         let log = settings.log.as_ref().map(|_| channel());
-        Ok((Fleet { name: name.to_owned(), settings, socket, seen, disks: Disks::default(), log }, sees))
+        Ok((
+            Fleet {
+                name: name.to_owned(),
+                settings,
+                socket,
+                seen,
+                disks: Disks::default(),
+                log,
+                configuration: None,
+            },
+            sees,
+        ))
     }
 
     /// By which the rest of the program reaches the agreed log, if there is to be one.
@@ -55,6 +70,15 @@
         self.log.as_ref().map(|(handle, ..)| handle.clone())
     }
 
+    /// Distributes configuration, where `[fleet.configuration]` says so: documents are made and put in force by this
+    /// content. What comes back publishes revisions and tells which is in force where.
+    pub fn serve_configuration(&mut self, content: Arc<dyn Content>) -> Option<ConfigurationHandle> {
+        self.settings.configuration.as_ref()?;
+        let (handle, asks, tells) = configuration::channel();
+        self.configuration = Some((content, asks, tells));
+        Some(handle)
+    }
+
     /// Keeps its files on these.
     pub fn on(self, disks: Disks) -> Self {
         Fleet { disks, ..self }
@@ -68,7 +92,7 @@
     /// Takes part until told to leave, and ends when others have been told, or when another process of this name
     /// keeps it. Not to be dropped half-way if others are to learn of the leaving at once.
     pub async fn run(self, mut leave: watch::Receiver<bool>) {
-        let Fleet { name, settings, socket, seen, disks, log } = self;
+        let Fleet { name, settings, socket, seen, disks, log, configuration } = self;
         let cluster = settings.cluster.as_str();
         let keeper = settings.folder.clone().map(|at| Keeper::new(at, disks.clone(), &name, cluster));
         let saved = match &keeper {
@@ -99,13 +123,27 @@
         let (number, begun) = (identity.cluster_number(), Instant::now());
         let (log, asks) = match (log, &settings.log) {
             (Some((_, asks, tell)), Some(log)) => {
-                let disk = settings.folder.clone().map(|folder| (folder, disks));
+                let disk = settings.folder.clone().map(|folder| (folder, disks.clone()));
                 (Some(LogPart::start(log, (&name, number, run), disk, tell, 0).await), Some(asks))
             }
             _ => (None, None),
         };
+        let (configuration, changes_asked) = match (configuration, settings.configuration.clone()) {
+            (Some((content, asks, tells)), Some(table)) => {
+                let id = merlinfold_distribution::Identity {
+                    cluster: number,
+                    name: name.as_str().into(),
+                    zone: settings.zone.as_str().into(),
+                };
+                let disk = settings.folder.clone().map(|folder| (folder, disks));
+                let start = Start { settings: table, id, content, disk, tells };
+                (Some(ConfigurationPart::start(start, 0).await), Some(asks))
+            }
+            _ => (None, None),
+        };
         let mut part = Part {
             log,
+            configuration,
             machine: Membership::new(identity, Tuning::default(), fastrand::u64(..), 0),
             begun,
             me: name,
@@ -117,9 +155,8 @@
             uncounted: 0,
             reported: Instant::now(),
         };
-        let mut saving =
-            Saving { keeper, starts: saved.starts, last: Instant::now(), dirty: false, under_way: None };
-        part.play(&mut leave, &mut saving, asks).await;
+        let mut saving = Saving::new(keeper, saved.starts);
+        part.play(&mut leave, &mut saving, asks, changes_asked).await;
         part.tell();
     }
 }
@@ -132,8 +169,8 @@
     }
 }
 
-/// The next thing to be agreed on; without a log, or when nobody is left to ask, none ever.
-async fn next(asks: &mut Option<Asks>) -> Asked {
+/// The next thing that is asked for; where nothing can be, or when nobody is left to ask, none ever.
+async fn next<T>(asks: &mut Option<mpsc::Receiver<T>>) -> T {
     match asks {
         Some(open) => match open.recv().await {
             Some(asked) => asked,
@@ -143,37 +180,17 @@
     }
 }
 
-/// The view on its way to the disk.
-struct Saving {
-    keeper: Option<Keeper>,
-    starts: u32,
-    last: Instant,
-    dirty: bool,
-    under_way: Option<JoinHandle<()>>, // at most one
-}
-
-impl Saving {
-    fn save(&mut self, machine: &Membership) {
-        let busy = self.under_way.as_ref().is_some_and(|task| !task.is_finished());
-        let Some(keeper) = self
-            .keeper
-            .clone()
-            .filter(|_| self.dirty && !busy && self.last.elapsed() >= Duration::from_nanos(SAVE_EVERY))
-        else {
-            return;
-        };
-        (self.dirty, self.last) = (false, Instant::now());
-        let (starts, addresses) = (self.starts, machine.addresses());
-        self.under_way = Some(tokio::spawn(async move {
-            if let Err(fault) = keeper.save(starts, addresses).await {
-                warn!(%fault, "fleet: the view was not kept; what was kept before still is");
-            }
-        }));
+/// Waits for work of the configuration's part; without one for ever.
+async fn done(configuration: &mut Option<ConfigurationPart>) -> configuration::Done {
+    match configuration {
+        Some(configuration) => configuration.done().await,
+        None => std::future::pending().await,
     }
 }
 
 struct Part {
     log: Option<LogPart>,
+    configuration: Option<ConfigurationPart>,
     machine: Membership,
     begun: Instant,
     me: String,
@@ -192,17 +209,33 @@
         self.begun.elapsed().as_nanos() as Nanos
     }
 
-    async fn play(&mut self, leave: &mut watch::Receiver<bool>, saving: &mut Saving, mut asks: Option<Asks>) {
+    async fn play(
+        &mut self, leave: &mut watch::Receiver<bool>, saving: &mut Saving, mut asks: Option<Asks>,
+        mut changes_asked: Option<configuration::Asks>,
+    ) {
         let mut buffer = [0; DATAGRAM_MOST + 1];
         let mut leaving = false;
         while let Some(due) = self.machine.due() {
             let due = self.log.as_ref().map_or(due, |log| due.min(log.due()));
+            let due = self.configuration.as_ref().map_or(due, |configuration| due.min(configuration.due()));
             let wake = (self.begun + Duration::from_nanos(due)).min(self.told + TELL_EVERY);
             tokio::select! {
                 durable = saved(&mut self.log) => {
                     let now = self.now();
                     self.log.iter_mut().for_each(|log| log.persisted(now, durable));
                 }
+                done = done(&mut self.configuration) => {
+                    let now = self.now();
+                    if let Some(configuration) = &mut self.configuration {
+                        configuration.finish(now, done);
+                    }
+                }
+                asked = next(&mut changes_asked) => {
+                    let now = self.now();
+                    if let Some(configuration) = &mut self.configuration {
+                        configuration.publish(now, asked);
+                    }
+                }
                 asked = next(&mut asks) => {
                     let now = self.now();
                     if let Some(log) = &mut self.log {
@@ -221,8 +254,9 @@
                     self.handle(Event::Leave);
                 }
             }
+            self.turn_configuration();
             self.turn_log();
-            saving.dirty |= self.changed;
+            saving.note(self.changed);
             let soonest = if self.changed { TELL_SOONEST } else { TELL_EVERY };
             if self.told.elapsed() >= soonest {
                 self.tell();
@@ -239,6 +273,11 @@
                     let now = self.now();
                     self.log.iter_mut().for_each(|log| log.hear(now, &buffer[..length]));
                 }
+                Ok((length, _)) if ConfigurationPart::is_for(&buffer[..length]) => {
+                    let now = self.now();
+                    let part = self.configuration.iter_mut();
+                    part.for_each(|configuration| configuration.hear(now, &buffer[..length]));
+                }
                 Ok((length, from)) => self.handle(Event::Datagram { from, bytes: &buffer[..length] }),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 // What an earlier datagram met on its way comes back here; it ends nothing.
@@ -247,6 +286,20 @@
         }
     }
 
+    /// The distribution's turn, before the log's: what it proposes goes out with that.
+    fn turn_configuration(&mut self) {
+        let now = self.now();
+        let (Some(configuration), Some(log)) = (&mut self.configuration, &mut self.log) else { return };
+        configuration.turn(now, &self.machine, log.announced(now), &log.voters());
+        configuration.proposals().into_iter().for_each(|proposal| log.announce(now, proposal));
+        for (to, bytes) in configuration.outgoing() {
+            // May be lost, as on the way: a full socket is no error.
+            if let Err(error) = self.socket.try_send_to(&bytes, to) {
+                debug!(%to, %error, "configuration: not sent");
+            }
+        }
+    }
+
     /// The log's turn, and what it wants sent.
     fn turn_log(&mut self) {
         let now = self.now();
--- a/crates/trial/src/configuration/mod.rs
+++ b/crates/trial/src/configuration/mod.rs
@@ -6,6 +6,8 @@
 
 mod content;
 mod draw;
+mod host;
+mod judging;
 mod laws;
 mod log;
 mod node;
--- a/crates/trial/src/configuration/player.rs
+++ b/crates/trial/src/configuration/player.rs
@@ -2,21 +2,17 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
-use std::sync::Arc;
 
-use merlinfold_distribution::{
-    encode, read, Action, Body, Defect, Distribution, Event, LogState, Note, Peer, Rejection, RevisionId,
-    Ticket, Write,
-};
+use merlinfold_distribution::{Defect, Event, LogState, Peer, RevisionId};
 use merlinfold_world::seed::{Seed, Stream};
 use merlinfold_world::{Nanos, MS, SECOND};
 use rand::Rng;
 
-use super::content::compose;
 use super::draw::Kind;
+use super::host::Done;
 use super::laws::{Breach, Watch, IN_FORCE_WITHIN};
 use super::log::ModelLog;
-use super::node::{number, peer, Node};
+use super::node::{peer, Node};
 use super::publishing::{Commit, Publishing};
 use crate::link::Links;
 use crate::schedule::{nanos, steps, Do, Step};
@@ -25,11 +21,7 @@
 const VIEW_EVERY: Nanos = 500 * MS;
 const VIEW_LATE: Nanos = 1_200 * MS; // until a death is known, as the membership takes at 300 nodes
 const POLL_EVERY: Nanos = SECOND; // of the log, as its followers pull
-const LOOK_EVERY: Nanos = 2 * SECOND; // at what some observers count
-const OBSERVERS: usize = 3;
-const WRITE_STEPS: usize = 4; // of a disk, a file
 const LEAVES_IN: Nanos = 300 * MS;
-const BYTES_OF_OTHERS_S: f64 = 1_102.0; // membership and log, measured at 300 and 100 nodes
 
 /// A fleet and what happens to it.
 #[derive(Clone, Debug)]
@@ -88,13 +80,6 @@
     Check { node: Option<usize>, since: Nanos },
 }
 
-pub(super) enum Done {
-    Composed(Result<Arc<[u8]>, Rejection>),
-    Applied(RevisionId, Result<(), Rejection>),
-    Persisted(bool),
-    Proposed(Ticket, Result<(), merlinfold_distribution::ProposalError>),
-}
-
 pub(super) struct Player<'a> {
     pub world: &'a World,
     pub nodes: Vec<Node>,
@@ -111,8 +96,8 @@
     free: Vec<usize>,
     next: u64,
     view_changed: Nanos,
-    slowest: BTreeMap<RevisionId, Nanos>,
-    looks: (usize, usize), // members seen, and those of them unknown
+    pub slowest: BTreeMap<RevisionId, Nanos>,
+    pub looks: (usize, usize), // members seen, and those of them unknown
     logs: bool,
 }
 
@@ -152,7 +137,7 @@
     }
     player.push(0, Ev::View);
     player.push(2 * SECOND, Ev::Publish);
-    player.push(LOOK_EVERY, Ev::Look);
+    player.push(0, Ev::Look);
     let end = nanos(trial.seconds);
     player.run(&steps, end);
     Ok(player.finish(end))
@@ -218,22 +203,6 @@
         }
     }
 
-    fn deliver(&mut self, from: usize, to: usize, bytes: &[u8]) {
-        if !self.nodes[from].is_corrupt {
-            return self.feed(to, Event::Datagram(bytes));
-        }
-        // A node whose memory is bad: checksums of datagrams are right, content is not.
-        let Ok(mut envelope) = read(bytes) else { return };
-        if let Body::Piece { bytes: content, .. } | Body::Offer { first: content, .. } = &mut envelope.body {
-            if let Some(last) = content.last_mut() {
-                *last ^= 1;
-            }
-        }
-        if let Some(bytes) = encode(&envelope) {
-            self.feed(to, Event::Datagram(&bytes));
-        }
-    }
-
     fn step(&mut self, what: &Do) {
         self.line(None, || what.text());
         self.links.step(what);
@@ -366,187 +335,4 @@
         };
         self.feed(node, Event::Log(state));
     }
-
-    pub fn feed(&mut self, node: usize, event: Event) {
-        if !self.nodes[node].is_up() {
-            return;
-        }
-        let Some(machine) = &mut self.nodes[node].machine else { return };
-        let mut out = Vec::new();
-        machine.handle(self.now, event, &mut out);
-        self.carry(node, out);
-    }
-
-    fn carry(&mut self, node: usize, out: Vec<Action>) {
-        for action in out {
-            match action {
-                Action::Send { to, bytes } => {
-                    let to = number(to);
-                    for way in self.links.fate(self.now, node, to, bytes.len()) {
-                        self.push(self.now + way, Ev::Deliver { from: node, to, bytes: bytes.clone() });
-                    }
-                }
-                Action::Compose { base, deltas } => {
-                    let result = compose(&base, &deltas).map(Arc::from);
-                    self.later(node, 5 * MS, Done::Composed(result));
-                }
-                Action::Apply(document) => {
-                    self.watch.applies(self.now, node, &document);
-                    let id = document.announcement.id;
-                    let refuses = self.nodes[node].refuses == Some(id.number);
-                    let refused = Rejection("this node refuses it".to_owned());
-                    let result = if refuses { Err(refused) } else { Ok(()) };
-                    self.later(node, 50 * MS, Done::Applied(id, result));
-                }
-                Action::Persist(write) => self.persist(node, &write),
-                Action::Propose { ticket, announcement, expect } => {
-                    self.propose(node, ticket, announcement, expect);
-                }
-                Action::Published(ticket, outcome) => self.published(node, ticket, outcome),
-                Action::Tell(note) => self.note(node, &note),
-            }
-        }
-        let Some(machine) = &self.nodes[node].machine else { return };
-        let due = machine.due().max(self.now + MS);
-        if self.nodes[node].scheduled.is_none_or(|at| due < at) {
-            self.nodes[node].scheduled = Some(due);
-            self.push(due, Ev::Due(node));
-        }
-    }
-
-    pub fn later(&mut self, node: usize, longest: Nanos, done: Done) {
-        let (start, takes) = (self.nodes[node].starts, self.stream.random_range(0..longest));
-        self.push(self.now + takes, Ev::Host { node, start, done });
-    }
-
-    fn host(&mut self, node: usize, start: u64, done: Done) {
-        if self.nodes[node].starts != start || self.nodes[node].machine.is_none() {
-            return;
-        }
-        if self.nodes[node].paused {
-            return self.push(self.now + 10 * MS, Ev::Host { node, start, done });
-        }
-        match done {
-            Done::Composed(result) => self.feed(node, Event::Composed(result)),
-            Done::Applied(id, result) => {
-                if result.is_ok() {
-                    self.watch.applied(node, id);
-                    self.time(node, id);
-                }
-                self.feed(node, Event::Applied(result));
-            }
-            Done::Persisted(durable) => self.feed(node, Event::Persisted(durable)),
-            Done::Proposed(ticket, outcome) => self.feed(node, Event::Proposed(ticket, outcome)),
-        }
-    }
-
-    /// A revision came into force: how long after its confirmation, where nothing was wrong with the node since.
-    fn time(&mut self, node: usize, id: RevisionId) {
-        let before = self.nodes[node].in_force();
-        let newly = self.publishing.confirmed.range(..=id).filter(|(earlier, _)| Some(**earlier) > before);
-        let newly: Vec<(RevisionId, Nanos)> = newly.map(|(id, at)| (*id, *at)).collect();
-        for (id, at) in newly {
-            if self.nodes[node].is_untroubled_since(at) {
-                let took = self.now - at;
-                self.played.times.push(took);
-                let slowest = self.slowest.entry(id).or_default();
-                *slowest = took.max(*slowest);
-            }
-        }
-    }
-
-    fn persist(&mut self, node: usize, write: &Write) {
-        let of = &self.nodes[node];
-        let saved = write.save(&of.disk, &of.name);
-        let takes = MS / 2 + of.disk.takes(WRITE_STEPS);
-        let start = of.starts;
-        let done = Done::Persisted(saved.is_ok());
-        self.push(self.now + takes, Ev::Host { node, start, done });
-    }
-
-    fn note(&mut self, node: usize, note: &Note) {
-        self.line(Some(node), || format!("{note:?}"));
-        let kind = match note {
-            Note::InForce(_) => return,
-            Note::Refused(..) => "refused",
-            Note::BadContent(..) => "bad content",
-            Note::BadChain(_) => "bad chain",
-            Note::SetAside(..) => {
-                self.watch.begins_anew(node);
-                "set aside"
-            }
-            Note::DiskTakes(_) => "disk",
-            Note::LogIsLower(_) => "log is lower",
-        };
-        *self.played.notes.entry(kind).or_default() += 1;
-    }
-
-    /// What some observers count.
-    fn look(&mut self) {
-        for _ in 0..OBSERVERS {
-            let observer = self.stream.random_range(0..self.nodes.len());
-            let Some(machine) = &self.nodes[observer].machine else { continue };
-            let overview = machine.overview(self.now);
-            let others = machine.peers().iter().filter(|peer| peer.alive);
-            let live: Vec<_> =
-                others.map(|peer| (number(peer.address), machine.known_at(self.now, &peer.name))).collect();
-            if self.now > 60 * SECOND {
-                self.looks.0 += overview.live;
-                self.looks.1 += overview.unknown.count;
-            }
-            self.watch.overview(self.now, observer, &overview, &live);
-        }
-        self.push(self.now + LOOK_EVERY, Ev::Look);
-    }
-
-    /// Whether what was confirmed by then is in force at a node, or at all, where nothing was wrong since.
-    fn check(&mut self, node: Option<usize>, since: Nanos) {
-        let latest =
-            self.publishing.confirmed.iter().filter(|(_, at)| **at <= since).map(|(id, _)| *id).max();
-        let voters = self.nodes[..self.world.voters].iter();
-        let standing = voters.filter(|voter| voter.is_untroubled_since(since)).count();
-        let Some(latest) = latest.filter(|_| 2 * standing > self.world.voters) else { return };
-        if self.publishing.is_lost(latest) {
-            return;
-        }
-        let nodes = node.map_or(0..self.nodes.len(), |node| node..node + 1);
-        for node in nodes {
-            let of = &self.nodes[node];
-            if !of.is_untroubled_since(since) || of.in_force() >= Some(latest) {
-                continue;
-            }
-            let Some(machine) = &of.machine else { continue };
-            let refused = machine.overview(self.now).refused_here;
-            if refused.is_some_and(|(id, _)| id >= latest) {
-                continue;
-            }
-            let inside = machine.inside();
-            self.watch.late(self.now, node, latest, &inside);
-        }
-    }
-
-    fn finish(mut self, end: Nanos) -> Played {
-        let now = self.now;
-        let latest = self.publishing.confirmed.keys().max().copied();
-        let in_force = self.nodes.iter().filter_map(Node::in_force).max();
-        if let Some(latest) = latest.filter(|latest| !self.publishing.is_lost(*latest)) {
-            if in_force < Some(latest) {
-                self.watch.lost(now, latest);
-            }
-        }
-        let seconds = end as f64 / SECOND as f64;
-        let sent = |node: &Node| node.sent + node.machine.as_ref().map_or(0, Distribution::sent_bytes);
-        let all: u64 = self.nodes.iter().map(sent).sum();
-        self.played.bytes_s = all as f64 / self.nodes.len() as f64 / seconds;
-        let voters = self.nodes[..self.world.voters].iter().map(sent).max().unwrap_or_default();
-        self.played.voter_bytes_s = voters as f64 / seconds;
-        if self.world.kind == Kind::Calm {
-            self.watch.control(now, self.played.bytes_s + BYTES_OF_OTHERS_S);
-        }
-        self.played.unknown = self.looks.1 as f64 / self.looks.0.max(1) as f64;
-        self.played.confirmed = self.publishing.confirmed.len();
-        self.played.to_all = self.slowest.into_values().collect();
-        self.played.breaches = self.watch.breaches;
-        self.played
-    }
 }
--- a/crates/trial/src/configuration/publishing.rs
+++ b/crates/trial/src/configuration/publishing.rs
@@ -13,9 +13,10 @@
 
 use super::content::{compose, document, patch};
 use super::draw::Kind;
+use super::host::Done;
 use super::laws::IN_FORCE_WITHIN;
 use super::node::MAX_FORMAT;
-use super::player::{Done, Ev, Player};
+use super::player::{Ev, Player};
 use crate::schedule::Do;
 use crate::spec::Kept;
 
