--- a/crates/distribution/src/content.rs
+++ b/crates/distribution/src/content.rs
@@ -34,6 +34,11 @@
     fn compose(&self, document: &[u8], deltas: &[Delta]) -> Result<Vec<u8>, Rejection>;
 
     /// Puts a whole document in force between two requests. Its digest has been verified. When this is an error the
-    /// revision before has to stay in force. Called on a thread that may block, one call at a time.
+    /// revision before has to stay in force. Called on a thread that may block, one call at a time. Revisions only rise,
+    /// but after [`Content::set_aside`].
     fn apply(&self, revision: RevisionId, document: &[u8]) -> Result<(), Rejection>;
+
+    /// The revision in force came from a disk and is not of this fleet's log. It serves on until the next
+    /// [`Content::apply`], which may be of a lower one. Must not block.
+    fn set_aside(&self, revision: RevisionId);
 }
--- a/crates/fleet/src/configuration/part.rs
+++ b/crates/fleet/src/configuration/part.rs
@@ -291,6 +291,7 @@
                 warn!(%revision, "configuration: deltas do not lead to the announced digest; fetched as a whole");
             }
             Note::SetAside(revision, why) => {
+                self.content.set_aside(revision);
                 warn!(%revision, why, "configuration: the disk's revision is set aside");
             }
             Note::DiskTakes(true) => info!("configuration: kept on the disk again"),
--- a/crates/fleet/tests/configuration.rs
+++ b/crates/fleet/tests/configuration.rs
@@ -1,13 +1,16 @@
 //! Distribution of configuration on real sockets and disks: five nodes of one process on the loopback interface.
 
+mod common;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
+use common::{appended, Appended};
 use merlinfold_config::{parse, Config};
-use merlinfold_distribution::{Content, Delta, PublishError, Rejection, RevisionId};
-use merlinfold_fleet::{Change, ConfigurationHandle, Fleet, LogHandle};
+use merlinfold_distribution::{PublishError, RevisionId};
+use merlinfold_fleet::{ConfigurationHandle, Fleet, LogHandle};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
@@ -15,32 +18,6 @@
 const NODES: usize = 5;
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(12);
 
-/// Documents are bytes, a delta is what is added at the end; some documents are refused.
-#[derive(Default)]
-struct Appended {
-    refuses: Option<&'static [u8]>,
-    applied: Mutex<Vec<(RevisionId, Vec<u8>)>>,
-}
-
-impl Content for Appended {
-    fn max_format(&self) -> u16 {
-        1
-    }
-
-    fn compose(&self, document: &[u8], deltas: &[Delta]) -> Result<Vec<u8>, Rejection> {
-        let added = deltas.iter().flat_map(|delta| delta.bytes.iter().copied());
-        Ok(document.iter().copied().chain(added).collect())
-    }
-
-    fn apply(&self, revision: RevisionId, document: &[u8]) -> Result<(), Rejection> {
-        if self.refuses.is_some_and(|refused| document.ends_with(refused)) {
-            return Err(Rejection("it ends badly".to_owned()));
-        }
-        self.applied.lock().unwrap().push((revision, document.to_vec()));
-        Ok(())
-    }
-}
-
 struct Node {
     address: SocketAddr,
     content: Arc<Appended>,
@@ -108,17 +85,7 @@
 }
 
 async fn publish(node: &Node, added: &[u8]) -> Result<RevisionId, PublishError> {
-    let held = node.handle.held();
-    let mut document = held.as_ref().map_or_else(Vec::new, |held| held.bytes.to_vec());
-    document.extend(added);
-    let change = Change {
-        base: held.as_ref().map(|held| held.announcement.id),
-        format: 1,
-        document,
-        delta: held.is_some().then(|| added.to_vec()),
-        over_missing: false,
-    };
-    node.handle.publish(change).await
+    node.handle.publish(appended(&node.handle, added)).await
 }
 
 fn number(node: &Node) -> u64 {
