Call the last questions to a suspect its final probe

Cause: `last_words` was a metaphor. Change: `State::Suspect::last_words` is `final_probe`, as the constants beside it.

--- a/crates/membership/src/machine/suspicion.rs
+++ b/crates/membership/src/machine/suspicion.rs
@@ -59,7 +59,7 @@
             }
             return;
         }
-        peer.state = State::Suspect { since: now, accusers: vec![by.clone()], last_words: None };
+        peer.state = State::Suspect { since: now, accusers: vec![by.clone()], final_probe: None };
         self.suspects.insert(record.name.clone());
         self.maybe_check(now, &record.name, &by, live);
         let change = Change::Member { name: record.name.clone(), was: Some(was), is: "suspect" };
@@ -108,12 +108,12 @@
     fn ask_finally(&mut self, now: Nanos, name: &Name, out: &mut Vec<Action>) -> bool {
         let until = now + self.tuning.answer_within * self.health_multiplier();
         let Some(peer) = self.peers.get_mut(name) else { return false };
-        let State::Suspect { last_words, .. } = &mut peer.state else { return false };
-        let (asked, _) = last_words.unwrap_or((0, now));
+        let State::Suspect { final_probe, .. } = &mut peer.state else { return false };
+        let (asked, _) = final_probe.unwrap_or((0, now));
         if asked >= FINAL_PROBES {
             return false;
         }
-        *last_words = Some((asked + 1, until));
+        *final_probe = Some((asked + 1, until));
         self.send_to(name, Body::Ping { probe: FINAL_PROBE }, &[], out);
         true
     }
--- a/crates/membership/src/peer.rs
+++ b/crates/membership/src/peer.rs
@@ -21,7 +21,7 @@
         /// By whom, each once.
         accusers: Vec<Name>,
         /// How often it was asked itself since its time was over, and until when it has to answer the last time.
-        last_words: Option<(u8, Nanos)>,
+        final_probe: Option<(u8, Nanos)>,
     },
     /// It did not refute in time.
     Dead {
@@ -121,8 +121,8 @@
     /// When its time to refute is over, if it is accused. `wanted` further accusers shorten that to the least
     /// (Lifeguard's formula); `slow` counts how much longer this node takes over everything.
     pub fn deadline(&self, tuning: &Tuning, wanted: usize, slow: u64) -> Option<Nanos> {
-        let State::Suspect { since, accusers, last_words } = &self.state else { return None };
-        if let Some((_, until)) = last_words {
+        let State::Suspect { since, accusers, final_probe } = &self.state else { return None };
+        if let Some((_, until)) = final_probe {
             return Some(*until);
         }
         let further = accusers.len().saturating_sub(1) as f64;
@@ -148,9 +148,9 @@
 
     /// Moves what is pending by a time in which this node did nothing.
     pub fn shift(&mut self, by: Nanos) {
-        if let State::Suspect { since, last_words, .. } = &mut self.state {
+        if let State::Suspect { since, final_probe, .. } = &mut self.state {
             *since = since.saturating_add(by);
-            if let Some((_, until)) = last_words {
+            if let Some((_, until)) = final_probe {
                 *until = until.saturating_add(by);
             }
         }
