Name membership's limits of words, incarnations and addresses `MAX_`

Cause: `*_MOST` was a word of our own. Change: `MAX_WORD`, `MAX_INCARNATION`, `MAX_ADDRESSES`; nothing else uses them.

--- a/crates/membership/src/record.rs
+++ b/crates/membership/src/record.rs
@@ -9,10 +9,10 @@
 pub type Name = Arc<str>;
 
 /// Bytes of a name, zone, machine or version at most.
-pub const WORD_MOST: usize = 64;
+pub const MAX_WORD: usize = 64;
 
 /// Number of a member at most: it rises by one with each contradiction, so no honest one ever comes near.
-pub const INCARNATION_MOST: u64 = 1 << 48;
+pub const MAX_INCARNATION: u64 = 1 << 48;
 
 /// What a member says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -78,8 +78,8 @@
 
     /// Whether no word in it is longer than allowed, and no number so high that its member could not contradict it.
     pub fn is_proper(&self) -> bool {
-        let fits = |word: &Name| !word.is_empty() && word.len() <= WORD_MOST;
-        self.incarnation < INCARNATION_MOST
+        let fits = |word: &Name| !word.is_empty() && word.len() <= MAX_WORD;
+        self.incarnation < MAX_INCARNATION
             && fits(&self.name)
             && match &self.status {
                 Status::Alive(profile) => {
--- a/crates/membership/src/saved.rs
+++ b/crates/membership/src/saved.rs
@@ -8,7 +8,7 @@
 use crate::config::{Nanos, MS};
 
 /// Addresses kept at most.
-pub const ADDRESSES_MOST: usize = 4_096;
+pub const MAX_ADDRESSES: usize = 4_096;
 /// Version of the form, for the file's head.
 pub const SAVED_VERSION: u8 = 1;
 /// So long a disk may take over a start until the node joins without it.
@@ -35,7 +35,7 @@
             (self.cluster, self.addresses) = (cluster.to_owned(), Vec::new());
         }
         self.starts = self.starts.saturating_add(1);
-        self.addresses.truncate(ADDRESSES_MOST);
+        self.addresses.truncate(MAX_ADDRESSES);
         self
     }
 
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::record::{Name, Record, WORD_MOST};
+use crate::record::{Name, Record, MAX_WORD};
 
 /// Bytes of a datagram at most: fits any path without fragments.
 pub const DATAGRAM_MOST: usize = 1_200;
@@ -189,7 +189,7 @@
     if envelope.cluster != cluster {
         return Err(Fault::Foreign);
     }
-    if envelope.from.is_empty() || envelope.from.len() > WORD_MOST {
+    if envelope.from.is_empty() || envelope.from.len() > MAX_WORD {
         return Err(Fault::Malformed);
     }
     let mut records = Vec::new();
--- a/crates/membership/tests/laws.rs
+++ b/crates/membership/tests/laws.rs
@@ -160,13 +160,12 @@
 /// Guards the contradiction: a number beyond which there is none is no number.
 #[test]
 fn a_number_that_could_not_be_contradicted_is_refused() {
-    for (incarnation, heeded) in [(u64::MAX, false), (INCARNATION_MOST, false), (INCARNATION_MOST - 1, true)]
-    {
+    for (incarnation, heeded) in [(u64::MAX, false), (MAX_INCARNATION, false), (MAX_INCARNATION - 1, true)] {
         let (mut one, mut out) = (node("one", 1, 1), Vec::new());
         let dead = Record { name: "one".into(), incarnation, run: 1, status: Status::Dead };
         let bytes = datagram(&envelope("two", 1, Body::Gossip), &[dead]);
         one.handle(0, Event::Datagram { from: address(2), bytes: &bytes }, &mut out);
-        let expected = if heeded { INCARNATION_MOST } else { 1 };
+        let expected = if heeded { MAX_INCARNATION } else { 1 };
         assert_eq!(one.incarnation(), expected);
         assert_eq!(one.counts().faults.get(&Fault::Malformed), (!heeded).then_some(&1));
     }
