Rename membership's `MEMBERS_MOST` to `MAX_MEMBERS`

Cause: `*_MOST` was a word of our own. Change: the constant and its uses in the crate and its tests.

--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -11,7 +11,7 @@
 pub const MS: Nanos = 1_000_000;
 
 /// Members that a view holds at most.
-pub const MEMBERS_MOST: usize = 4_096;
+pub const MAX_MEMBERS: usize = 4_096;
 
 /// Who this is and whom it knows.
 #[derive(Clone, Debug)]
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -39,7 +39,7 @@
 mod view;
 mod wire;
 
-pub use config::{Identity, Nanos, Tuning, MEMBERS_MOST, MS};
+pub use config::{Identity, Nanos, Tuning, MAX_MEMBERS, MS};
 pub use machine::{Action, Event, Membership, HELD_UP};
 pub use peer::State;
 pub use record::{Name, Profile, Record, Status, MAX_INCARNATION, MAX_WORD};
--- a/crates/membership/src/machine/merging.rs
+++ b/crates/membership/src/machine/merging.rs
@@ -2,7 +2,7 @@
 
 use super::joining::Lifecycle;
 use super::{Action, Membership};
-use crate::config::{Nanos, MEMBERS_MOST};
+use crate::config::{Nanos, MAX_MEMBERS};
 use crate::peer::{Peer, State};
 use crate::record::{Name, Profile, Record, Status};
 use crate::view::Change;
@@ -69,7 +69,7 @@
 
     /// Takes a new member in, and probes it at a drawn place of this round.
     fn add_member(&mut self, record: &Record, profile: &Profile, out: &mut Vec<Action>) {
-        if self.peers.len() + 1 >= MEMBERS_MOST {
+        if self.peers.len() + 1 >= MAX_MEMBERS {
             self.count_fault(Fault::Full);
             return;
         }
--- a/crates/membership/tests/laws.rs
+++ b/crates/membership/tests/laws.rs
@@ -185,13 +185,13 @@
 #[test]
 fn a_view_takes_no_more_members_than_it_has_room_for() {
     let (mut one, mut out) = (node("one", 1, 1), Vec::new());
-    for n in 0..MEMBERS_MOST as u64 + 10 {
+    for n in 0..MAX_MEMBERS as u64 + 10 {
         let name = format!("n{n}").into();
         let record = Record { name, incarnation: 1, run: 1, status: Status::Alive(profile(2)) };
         let bytes = datagram(&envelope("teller", n + 1, Body::Gossip), &[record]);
         one.handle(n * MS, Event::Datagram { from: address(2), bytes: &bytes }, &mut out);
     }
-    assert_eq!(one.members(0).len(), MEMBERS_MOST);
+    assert_eq!(one.members(0).len(), MAX_MEMBERS);
     assert_eq!(one.counts().faults.get(&Fault::Full), Some(&11));
 }
 
--- a/crates/membership/tests/memory.rs
+++ b/crates/membership/tests/memory.rs
@@ -32,7 +32,7 @@
     let mut machine = Membership::new(identity, Tuning::default(), 1, 0);
     let before = resident();
     let (mut out, mut now) = (Vec::new(), 0);
-    for n in 1..MEMBERS_MOST {
+    for n in 1..MAX_MEMBERS {
         now += MS;
         let name: Name = format!("guide-node-{n:05}").into();
         let record = Record { name, incarnation: 1, run: 1 << 32, status: Status::Alive(profile(n)) };
@@ -50,8 +50,8 @@
         machine.handle(now, Event::Tick, &mut out);
         out.clear();
     }
-    assert_eq!(machine.members(now).len(), MEMBERS_MOST);
-    let each = resident().saturating_sub(before) / MEMBERS_MOST;
+    assert_eq!(machine.members(now).len(), MAX_MEMBERS);
+    let each = resident().saturating_sub(before) / MAX_MEMBERS;
     println!("{each} bytes a member");
     assert!(each < A_MEMBER, "{each} bytes a member");
 }
