--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -18,4 +18,4 @@
 pub use config::{Defect, Identity, Name, Nanos, Peer, Tuning, MS, SECOND};
 pub use durable::{Doubt, Kept, Meta, Write};
 pub use machine::{Action, Agree, Event, Note, Standing};
-pub use wire::{encode, read, Body, Envelope, Fault, Group, Raft, RaftEntry, DATAGRAM_MOST, VERSION};
+pub use wire::{encode, read, Body, Envelope, Fault, Group, Raft, RaftEntry, MAX_DATAGRAM, VERSION};
--- a/crates/agree/src/machine/following.rs
+++ b/crates/agree/src/machine/following.rs
@@ -7,7 +7,7 @@
 use crate::applied::{Applied, PARTS};
 use crate::command::{CommandId, Entry};
 use crate::config::{Defect, Name, Nanos, MS, SECOND};
-use crate::wire::{Body, Group, DATAGRAM_MOST, ENTRIES_MOST, PIECE};
+use crate::wire::{Body, Group, ENTRIES_MOST, MAX_DATAGRAM, PIECE};
 
 const CHILD_LASTS: Nanos = 3 * SECOND; // without a pull
 const MAX_CHILDREN: usize = 64;
@@ -139,7 +139,7 @@
             let mut entries = Vec::new();
             let mut room = ENTRIES_MOST;
             for entry in self.tail.iter().skip(skip) {
-                let size = postcard::to_stdvec(entry).map_or(DATAGRAM_MOST, |bytes| bytes.len());
+                let size = postcard::to_stdvec(entry).map_or(MAX_DATAGRAM, |bytes| bytes.len());
                 if size > room {
                     break;
                 }
--- a/crates/agree/src/wire.rs
+++ b/crates/agree/src/wire.rs
@@ -10,7 +10,7 @@
 use crate::config::Name;
 
 /// Bytes of a datagram at most: fits any path without fragments.
-pub const DATAGRAM_MOST: usize = 1_200;
+pub const MAX_DATAGRAM: usize = 1_200;
 /// Version of the form.
 pub const VERSION: u8 = 1;
 /// Bytes of a state that one datagram carries.
@@ -311,12 +311,12 @@
     bytes.push(VERSION);
     bytes.extend(crc32c::crc32c(&body).to_le_bytes());
     bytes.extend(&body);
-    Some(bytes).filter(|bytes| bytes.len() <= DATAGRAM_MOST)
+    Some(bytes).filter(|bytes| bytes.len() <= MAX_DATAGRAM)
 }
 
 /// What a datagram says.
 pub fn read(bytes: &[u8]) -> Result<Envelope, Fault> {
-    if bytes.len() > DATAGRAM_MOST {
+    if bytes.len() > MAX_DATAGRAM {
         return Err(Fault::Long);
     }
     let (head, body) = bytes.split_at_checked(HEADER).ok_or(Fault::Malformed)?;
--- a/crates/fleet/src/log/part.rs
+++ b/crates/fleet/src/log/part.rs
@@ -7,7 +7,7 @@
 
 use merlinfold_agree::command::{CommandId, Outcome};
 use merlinfold_agree::{
-    Action, Agree, Event, Identity, Kept, Nanos, Note, Peer, Tuning, Write, DATAGRAM_MOST,
+    Action, Agree, Event, Identity, Kept, Nanos, Note, Peer, Tuning, Write, MAX_DATAGRAM,
 };
 use merlinfold_config::{AgreedLog, Durability};
 use merlinfold_membership::Membership;
@@ -40,7 +40,7 @@
 impl LogPart {
     /// Whether a datagram is the log's.
     pub fn is_for(bytes: &[u8]) -> bool {
-        bytes.starts_with(MARK) && bytes.len() <= DATAGRAM_MOST
+        bytes.starts_with(MARK) && bytes.len() <= MAX_DATAGRAM
     }
 
     /// With what the disk holds, where one is to be relied on.
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -7,7 +7,7 @@
 
 use merlinfold_config::Fleet as Settings;
 use merlinfold_membership::{
-    Action, Change, Event, Identity, Membership, Nanos, Profile, Tuning, DATAGRAM_MOST, SAVE_EVERY,
+    Action, Change, Event, Identity, Membership, Nanos, Profile, Tuning, MAX_DATAGRAM, SAVE_EVERY,
 };
 use socket2::{Domain, Socket, Type};
 use tokio::net::UdpSocket;
@@ -193,7 +193,7 @@
     }
 
     async fn play(&mut self, leave: &mut watch::Receiver<bool>, saving: &mut Saving, mut asks: Option<Asks>) {
-        let mut buffer = [0; DATAGRAM_MOST + 1];
+        let mut buffer = [0; MAX_DATAGRAM + 1];
         let mut leaving = false;
         while let Some(due) = self.machine.due() {
             let due = self.log.as_ref().map_or(due, |log| due.min(log.due()));
@@ -232,7 +232,7 @@
         }
     }
 
-    fn read(&mut self, buffer: &mut [u8; DATAGRAM_MOST + 1]) {
+    fn read(&mut self, buffer: &mut [u8; MAX_DATAGRAM + 1]) {
         for _ in 0..READ_AT_ONCE {
             match self.socket.try_recv_from(buffer) {
                 Ok((length, _)) if self.log.is_some() && LogPart::is_for(&buffer[..length]) => {
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -45,4 +45,4 @@
 pub use record::{Name, Profile, Record, Status, MAX_INCARNATION, MAX_WORD};
 pub use saved::{Keeping, Saved, MAX_ADDRESSES, SAVED_VERSION, SAVE_EVERY, START_WITHIN};
 pub use view::{Change, Confidence, Counts, Member, ZoneView};
-pub use wire::{encode, read, Body, Envelope, Fault, Window, Writer, DATAGRAM_MOST, VERSION};
+pub use wire::{encode, read, Body, Envelope, Fault, Window, Writer, MAX_DATAGRAM, VERSION};
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -10,7 +10,7 @@
 use crate::record::{Name, Record, MAX_WORD};
 
 /// Bytes of a datagram at most: fits any path without fragments.
-pub const DATAGRAM_MOST: usize = 1_200;
+pub const MAX_DATAGRAM: usize = 1_200;
 /// Version of the form.
 pub const VERSION: u8 = 1;
 const MARK: [u8; 2] = *b"mf";
@@ -138,7 +138,7 @@
 impl Writer {
     /// Begins with the envelope.
     pub fn new(envelope: &Envelope) -> Self {
-        let mut bytes = Vec::with_capacity(DATAGRAM_MOST);
+        let mut bytes = Vec::with_capacity(MAX_DATAGRAM);
         bytes.extend(MARK);
         bytes.push(VERSION);
         bytes.extend([0; 4]);
@@ -148,7 +148,7 @@
 
     /// Adds an encoded record; false if there is no room for it.
     pub fn add(&mut self, record: &[u8]) -> bool {
-        let fits = self.0.len() + record.len() <= DATAGRAM_MOST;
+        let fits = self.0.len() + record.len() <= MAX_DATAGRAM;
         if fits {
             self.0.extend_from_slice(record);
         }
@@ -171,7 +171,7 @@
 
 /// Reads a datagram for this fleet. Nothing of it is believed unless all of it can be read.
 pub fn read(cluster: u64, bytes: &[u8]) -> Result<(Envelope, Vec<Record>), Fault> {
-    if bytes.len() > DATAGRAM_MOST {
+    if bytes.len() > MAX_DATAGRAM {
         return Err(Fault::Long);
     }
     let (header, rest) = bytes.split_at_checked(HEADER).ok_or(Fault::Malformed)?;
--- a/crates/membership/tests/laws.rs
+++ b/crates/membership/tests/laws.rs
@@ -139,7 +139,7 @@
         (of(|e| e.from = "one".into()), Fault::Own),
         (of(|e| e.to = Some("three".into())), Fault::Misdirected),
         (newer, Fault::Version),
-        (vec![0; DATAGRAM_MOST + 1], Fault::Long),
+        (vec![0; MAX_DATAGRAM + 1], Fault::Long),
         (of(|e| e.body = Body::Ack { probe: 77 }), Fault::Unexpected),
     ] {
         let (mut one, mut out) = (node("one", 1, 1), Vec::new());
