--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -39,10 +39,10 @@
 mod view;
 mod wire;
 
-pub use config::{Identity, Nanos, Tuning, MEMBERS_MOST, MS};
+pub use config::{Identity, Nanos, Tuning, MAX_MEMBERS, MS};
 pub use machine::{Action, Event, Membership, HELD_UP};
 pub use peer::State;
-pub use record::{Name, Profile, Record, Status, INCARNATION_MOST, WORD_MOST};
-pub use saved::{Keeping, Saved, ADDRESSES_MOST, SAVED_VERSION, SAVE_EVERY, START_WITHIN};
+pub use record::{Name, Profile, Record, Status, MAX_INCARNATION, MAX_WORD};
+pub use saved::{Keeping, Saved, MAX_ADDRESSES, SAVED_VERSION, SAVE_EVERY, START_WITHIN};
 pub use view::{Change, Confidence, Counts, Member, ZoneView};
-pub use wire::{encode, read, Body, Envelope, Fault, Window, Writer, DATAGRAM_MOST, VERSION};
+pub use wire::{encode, read, Body, Envelope, Fault, Window, Writer, MAX_DATAGRAM, VERSION};
--- a/crates/membership/tests/laws.rs
+++ b/crates/membership/tests/laws.rs
@@ -139,7 +139,7 @@
         (of(|e| e.from = "one".into()), Fault::Own),
         (of(|e| e.to = Some("three".into())), Fault::Misdirected),
         (newer, Fault::Version),
-        (vec![0; DATAGRAM_MOST + 1], Fault::Long),
+        (vec![0; MAX_DATAGRAM + 1], Fault::Long),
         (of(|e| e.body = Body::Ack { probe: 77 }), Fault::Unexpected),
     ] {
         let (mut one, mut out) = (node("one", 1, 1), Vec::new());
@@ -160,13 +160,12 @@
 /// Guards the contradiction: a number beyond which there is none is no number.
 #[test]
 fn a_number_that_could_not_be_contradicted_is_refused() {
-    for (incarnation, heeded) in [(u64::MAX, false), (INCARNATION_MOST, false), (INCARNATION_MOST - 1, true)]
-    {
+    for (incarnation, heeded) in [(u64::MAX, false), (MAX_INCARNATION, false), (MAX_INCARNATION - 1, true)] {
         let (mut one, mut out) = (node("one", 1, 1), Vec::new());
         let dead = Record { name: "one".into(), incarnation, run: 1, status: Status::Dead };
         let bytes = datagram(&envelope("two", 1, Body::Gossip), &[dead]);
         one.handle(0, Event::Datagram { from: address(2), bytes: &bytes }, &mut out);
-        let expected = if heeded { INCARNATION_MOST } else { 1 };
+        let expected = if heeded { MAX_INCARNATION } else { 1 };
         assert_eq!(one.incarnation(), expected);
         assert_eq!(one.counts().faults.get(&Fault::Malformed), (!heeded).then_some(&1));
     }
@@ -186,13 +185,13 @@
 #[test]
 fn a_view_takes_no_more_members_than_it_has_room_for() {
     let (mut one, mut out) = (node("one", 1, 1), Vec::new());
-    for n in 0..MEMBERS_MOST as u64 + 10 {
+    for n in 0..MAX_MEMBERS as u64 + 10 {
         let name = format!("n{n}").into();
         let record = Record { name, incarnation: 1, run: 1, status: Status::Alive(profile(2)) };
         let bytes = datagram(&envelope("teller", n + 1, Body::Gossip), &[record]);
         one.handle(n * MS, Event::Datagram { from: address(2), bytes: &bytes }, &mut out);
     }
-    assert_eq!(one.members(0).len(), MEMBERS_MOST);
+    assert_eq!(one.members(0).len(), MAX_MEMBERS);
     assert_eq!(one.counts().faults.get(&Fault::Full), Some(&11));
 }
 
