--- a/crates/distribution/src/reports.rs
+++ b/crates/distribution/src/reports.rs
@@ -27,12 +27,16 @@
     known: BTreeMap<u32, Known>,
 }
 
-/// By which reports name a node.
+/// By which reports name a node. Spread evenly, also for names that are alike: what is told on is drawn by place among
+/// the hashes.
 pub fn hash(name: &str) -> u32 {
     let mut hasher = fnv::FnvHasher::default();
     hasher.write(name.as_bytes());
-    let hash = hasher.finish();
-    (hash >> 32) as u32 ^ hash as u32
+    // The finalizer of MurmurHash3: FNV leaves names that differ in their last byte next to each other.
+    let mut hash = hasher.finish();
+    hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    (hash >> 32) as u32
 }
 
 impl Reports {
