--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -13,6 +13,8 @@
 
 /// Smaller fleets leave buckets of a digest empty, whose zeros are shorter: their bytes still rise with each node.
 const SIZES: [usize; 4] = [150, 200, 250, 300];
+/// Enough for the planted machine, whose messages grow with the square of the fleet.
+const SMALL_SIZES: [usize; 3] = [100, 150, 200];
 /// Bytes a second that a node may send more for each further node: 134 from 150 to 820 nodes, where 3,000 are allowed.
 const SLOPE_MAX: f64 = 0.2;
 
@@ -56,9 +58,9 @@
     0
 }
 
-fn sweep<M: Machine>(make: impl Fn(Identity, u64) -> M) -> Vec<(usize, Measured)> {
+fn sweep<M: Machine>(sizes: &[usize], make: impl Fn(Identity, u64) -> M) -> Vec<(usize, Measured)> {
     let plan = |nodes| Plan { nodes, seconds: 10, seed: 1 };
-    SIZES.into_iter().map(|nodes| (nodes, play(&plan(nodes), &make, &no_clock))).collect()
+    sizes.iter().map(|&nodes| (nodes, play(&plan(nodes), &make, &no_clock))).collect()
 }
 
 /// Bytes a second a node by size, as a line.
@@ -69,7 +71,7 @@
 
 #[test]
 fn bytes_of_the_membership_stay_flat_with_the_fleet() {
-    let swept = sweep(membership);
+    let swept = sweep(&SIZES, membership);
     for (nodes, measured) in &swept {
         assert_eq!(measured.entries, *nodes, "every node sees all others before anything is counted");
     }
@@ -79,7 +81,7 @@
 
 #[test]
 fn a_node_that_talks_to_all_others_is_caught_by_the_slope() {
-    let fit = line(&sweep(all_to_all));
+    let fit = line(&sweep(&SMALL_SIZES, all_to_all));
     assert!(fit.slope > SLOPE_MAX, "{fit:?}");
 }
 
