Add documents, deltas and digests of a versioned configuration

Need: nothing carries a change of routes, tenants, limits or classes to all nodes but a file and a signal on each; a revision needs content that every node reads and checks in the same way.

Change: the pure package merlinfold-revision.

--- /dev/null
+++ b/crates/revision/src/delta.rs
@@ -0,0 +1,154 @@
+//! A change of a document: entries to set and keys to remove, against a base.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::bounds::MAX_ENCODED_BYTES;
+use crate::digest::Digest;
+use crate::document::{ClassProperties, Document, Limit, Route, Section, Tenant};
+use crate::entries;
+use crate::fault::Fault;
+use crate::revision::Revision;
+
+/// The revision that a delta is based on. Number and digest together also tell two histories apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Base {
+    /// Its number.
+    pub revision: u64,
+    /// The digest of its document.
+    pub digest: Digest,
+}
+
+/// What changes in one section.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Changes<T: for<'read> Deserialize<'read>> {
+    /// Entries that are added or replaced.
+    #[serde(deserialize_with = "entries::unique")]
+    pub set: BTreeMap<String, T>,
+    /// Keys that are removed.
+    #[serde(deserialize_with = "entries::unique_set")]
+    pub remove: BTreeSet<String>,
+}
+
+impl<T: for<'read> Deserialize<'read>> Default for Changes<T> {
+    fn default() -> Self {
+        Changes { set: BTreeMap::new(), remove: BTreeSet::new() }
+    }
+}
+
+/// A change of a document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Delta {
+    /// What it is based on.
+    pub base: Base,
+    /// Changes of routes.
+    #[serde(default)]
+    pub routes: Changes<Route>,
+    /// Changes of tenants.
+    #[serde(default)]
+    pub tenants: Changes<Tenant>,
+    /// Changes of limits.
+    #[serde(default)]
+    pub limits: Changes<Limit>,
+    /// Changes of classes.
+    #[serde(default)]
+    pub classes: Changes<ClassProperties>,
+}
+
+impl Delta {
+    /// One that changes nothing yet.
+    pub fn new(base: Base) -> Self {
+        Delta {
+            base,
+            routes: Changes::default(),
+            tenants: Changes::default(),
+            limits: Changes::default(),
+            classes: Changes::default(),
+        }
+    }
+
+    /// What leads from the revision in force to another document. Going back to an older document is the delta
+    /// to its content, and makes a new revision.
+    pub fn between(in_force: &Revision, to: &Document) -> Self {
+        let from = &*in_force.document;
+        Delta {
+            base: in_force.base(),
+            routes: Changes::between(&from.routes, &to.routes),
+            tenants: Changes::between(&from.tenants, &to.tenants),
+            limits: Changes::between(&from.limits, &to.limits),
+            classes: Changes::between(&from.classes, &to.classes),
+        }
+    }
+
+    /// The document after the change, valid and whole.
+    pub fn apply(&self, in_force: &Revision) -> Result<Document, Fault> {
+        self.check_base(in_force)?;
+        let document = &*in_force.document;
+        let changed = Document {
+            routes: self.routes.apply(Section::Routes, &document.routes)?,
+            tenants: self.tenants.apply(Section::Tenants, &document.tenants)?,
+            limits: self.limits.apply(Section::Limits, &document.limits)?,
+            classes: self.classes.apply(Section::Classes, &document.classes)?,
+        };
+        if changed == *document {
+            return Err(Fault::NoChange);
+        }
+        self.check_removed_classes(&changed)?;
+        changed.validate()?;
+        match changed.encode().len() {
+            bytes if bytes > MAX_ENCODED_BYTES => Err(Fault::TooLong { bytes }),
+            _ => Ok(changed),
+        }
+    }
+
+    fn check_base(&self, in_force: &Revision) -> Result<(), Fault> {
+        let base = self.base.revision;
+        if base != in_force.number {
+            return Err(Fault::Conflict { base, in_force: in_force.number });
+        }
+        if self.base.digest != in_force.digest {
+            return Err(Fault::OtherContent { base });
+        }
+        Ok(())
+    }
+
+    /// A route that has lost its class by this delta is told as the removal that did it.
+    fn check_removed_classes(&self, changed: &Document) -> Result<(), Fault> {
+        let uses = |(_, route): &(&String, &Route)| self.classes.remove.contains(&route.class);
+        match changed.routes.iter().find(uses) {
+            Some((prefix, route)) => {
+                Err(Fault::ClassInUse { class: route.class.clone(), prefix: prefix.clone() })
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+impl<T: Clone + PartialEq + for<'read> Deserialize<'read>> Changes<T> {
+    fn between(from: &BTreeMap<String, T>, to: &BTreeMap<String, T>) -> Self {
+        let changed = to.iter().filter(|(key, entry)| from.get(*key) != Some(entry));
+        let removed = from.keys().filter(|key| !to.contains_key(*key));
+        Changes {
+            set: changed.map(|(key, entry)| (key.clone(), entry.clone())).collect(),
+            remove: removed.cloned().collect(),
+        }
+    }
+
+    fn apply(&self, section: Section, entries: &BTreeMap<String, T>) -> Result<BTreeMap<String, T>, Fault> {
+        if let Some(key) = self.remove.iter().find(|key| self.set.contains_key(*key)) {
+            return Err(Fault::SetAndRemoved { section, key: key.clone() });
+        }
+        let mut changed = entries.clone();
+        for key in &self.remove {
+            if changed.remove(key).is_none() {
+                return Err(Fault::NotThere { section, key: key.clone() });
+            }
+        }
+        changed.extend(self.set.iter().map(|(key, entry)| (key.clone(), entry.clone())));
+        Ok(changed)
+    }
+}
--- /dev/null
+++ b/crates/revision/src/encoding.rs
@@ -0,0 +1,118 @@
+//! The canonical encoding: what it is, the format version, then the content in postcard.
+//!
+//! Keys are encoded in ascending order and integers in their shortest form. Bytes that decode but are not what
+//! encoding yields are refused, so one content has exactly one encoding and one digest.
+
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::bounds::MAX_ENCODED_BYTES;
+use crate::delta::Delta;
+use crate::digest::Digest;
+use crate::document::Document;
+use crate::fault::Fault;
+
+/// Version of the encoding that this program writes, and the only one that it reads.
+pub const FORMAT_VERSION: u16 = 1;
+
+const DOCUMENT_MARK: [u8; 4] = *b"mfcd";
+const DELTA_MARK: [u8; 4] = *b"mfcc";
+const HEADER_BYTES: usize = 6;
+
+/// Why bytes are no document or delta for this program.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum DecodeError {
+    /// A format that this version does not know.
+    #[error(
+        "configuration format {0}; this version knows {FORMAT_VERSION}: finish the upgrade of this node"
+    )]
+    UnknownVersion(u16),
+    /// The bytes are something else.
+    #[error("no {0}: the first bytes are those of something else")]
+    OtherKind(&'static str),
+    /// The bytes are cut short or damaged.
+    #[error("{0}: cut short or damaged; fetch it again")]
+    Malformed(&'static str),
+    /// The same content has another encoding.
+    #[error("{0}: not in canonical form; encode it with this program")]
+    NotCanonical(&'static str),
+    /// More bytes than are ever valid.
+    #[error("{0} bytes, {MAX_ENCODED_BYTES} are possible")]
+    TooLong(usize),
+    /// It can be read, and cannot be in force.
+    #[error(transparent)]
+    Invalid(#[from] Fault),
+}
+
+impl Document {
+    /// The canonical encoding.
+    pub fn encode(&self) -> Vec<u8> {
+        encode(DOCUMENT_MARK, self)
+    }
+
+    /// Reads a canonical encoding; the document is valid.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        let document: Document = decode(DOCUMENT_MARK, "document", bytes)?;
+        document.validate()?;
+        Ok(document)
+    }
+
+    /// The digest of the canonical encoding.
+    pub fn digest(&self) -> Digest {
+        Digest::of(&self.encode())
+    }
+}
+
+impl Delta {
+    /// The canonical encoding.
+    pub fn encode(&self) -> Vec<u8> {
+        encode(DELTA_MARK, self)
+    }
+
+    /// Reads a canonical encoding. Whether it fits a document shows when it is applied.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        decode(DELTA_MARK, "delta", bytes)
+    }
+
+    /// The digest of the canonical encoding.
+    pub fn digest(&self) -> Digest {
+        Digest::of(&self.encode())
+    }
+}
+
+fn encode(mark: [u8; 4], content: &impl Serialize) -> Vec<u8> {
+    let mut header = Vec::with_capacity(HEADER_BYTES);
+    header.extend(mark);
+    header.extend(FORMAT_VERSION.to_be_bytes());
+    postcard::to_extend(content, header).expect("maps of plain values can always be encoded")
+}
+
+fn decode<T: Serialize + DeserializeOwned>(
+    mark: [u8; 4], kind: &'static str, bytes: &[u8],
+) -> Result<T, DecodeError> {
+    if bytes.len() > MAX_ENCODED_BYTES {
+        return Err(DecodeError::TooLong(bytes.len()));
+    }
+    let content = check_header(mark, kind, bytes)?;
+    let (decoded, rest) = postcard::take_from_bytes(content).map_err(|_| DecodeError::Malformed(kind))?;
+    if !rest.is_empty() {
+        return Err(DecodeError::Malformed(kind));
+    }
+    if encode(mark, &decoded) != bytes {
+        return Err(DecodeError::NotCanonical(kind));
+    }
+    Ok(decoded)
+}
+
+/// What follows the header.
+fn check_header<'a>(mark: [u8; 4], kind: &'static str, bytes: &'a [u8]) -> Result<&'a [u8], DecodeError> {
+    let (header, content) = bytes.split_at_checked(HEADER_BYTES).ok_or(DecodeError::Malformed(kind))?;
+    if header[..4] != mark {
+        return Err(DecodeError::OtherKind(kind));
+    }
+    match u16::from_be_bytes([header[4], header[5]]) {
+        FORMAT_VERSION => Ok(content),
+        version => Err(DecodeError::UnknownVersion(version)),
+    }
+}
--- /dev/null
+++ b/crates/revision/src/entries.rs
@@ -0,0 +1,66 @@
+//! Reading of maps and sets in which a key that stands twice is a fault: a plain map would keep the last one.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::marker::PhantomData;
+
+use serde::de::{Deserialize, Deserializer, Error, MapAccess, SeqAccess, Visitor};
+
+const TWICE: &str = "stands there twice; name each key once";
+
+struct UniqueMap<T>(PhantomData<T>);
+
+impl<'de, T: Deserialize<'de>> Visitor<'de> for UniqueMap<T> {
+    type Value = BTreeMap<String, T>;
+
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("a map in which each key stands once")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut entries: A) -> Result<Self::Value, A::Error> {
+        let mut read = BTreeMap::new();
+        while let Some(key) = entries.next_key::<String>()? {
+            let value = entries.next_value()?;
+            if read.contains_key(&key) {
+                return Err(A::Error::custom(format_args!("{key:.100} {TWICE}")));
+            }
+            read.insert(key, value);
+        }
+        Ok(read)
+    }
+}
+
+/// A map in which no key stands twice.
+pub fn unique<'de, T, D>(from: D) -> Result<BTreeMap<String, T>, D::Error>
+where
+    T: Deserialize<'de>,
+    D: Deserializer<'de>,
+{
+    from.deserialize_map(UniqueMap(PhantomData))
+}
+
+struct UniqueSet;
+
+impl<'de> Visitor<'de> for UniqueSet {
+    type Value = BTreeSet<String>;
+
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("a list in which each key stands once")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut keys: A) -> Result<Self::Value, A::Error> {
+        let mut read = BTreeSet::new();
+        while let Some(key) = keys.next_element::<String>()? {
+            if read.contains(&key) {
+                return Err(A::Error::custom(format_args!("{key:.100} {TWICE}")));
+            }
+            read.insert(key);
+        }
+        Ok(read)
+    }
+}
+
+/// A list in which no key stands twice.
+pub fn unique_set<'de, D: Deserializer<'de>>(from: D) -> Result<BTreeSet<String>, D::Error> {
+    from.deserialize_seq(UniqueSet)
+}
