Let the decision module take other figures while it runs, without forgetting what it learned

Need: a revision of the configuration changes worths, aims, quotas and attempts of a node that serves; until now these were read at its start only.

Change: Event::Reconfigured swaps the figures of classes and tenants, the worth beyond a share and the attempts a request may have; numbers of classes and tenants stay, tenants may be added behind. What is decided about a request itself follows what held when it came: it now carries its attempts and whether it is worth something late. Without the event nothing differs.

--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -4,6 +4,8 @@
 //! servers, classes, tenants, zones) are numbers handed out by the host; the module only tells
 //! them apart.
 
+pub use crate::figures::{ClassFigures, Figures};
+
 /// A point in time or a duration, in nanoseconds.
 pub type Nanos = u64;
 
@@ -96,7 +98,7 @@
 }
 
 /// A tenant of the service.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Requests a second over all nodes that count in full; infinite where there is no such limit.
     pub quota_per_s: f64,
@@ -344,6 +346,8 @@
         /// When that was ordered: an order may be older than the process that hears of it.
         since: Nanos,
     },
+    /// Other figures hold from now on; what has been learned stays.
+    Reconfigured(Box<Figures>),
     /// A timer set by the module has come due.
     Timer(u64),
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -44,6 +44,7 @@
 //! ```
 
 mod counters;
+mod figures;
 pub mod interface;
 pub mod policy;
 mod ring;
--- a/crates/decide/src/policy/admission.rs
+++ b/crates/decide/src/policy/admission.rs
@@ -14,8 +14,9 @@
         let aim_at = now.saturating_add(class.aim.saturating_sub(spent));
         let deadline = now.saturating_add(request.budget);
         let worthless = aim_at <= now && class.late_worth <= 0.0;
+        let (late, most) = (class.late_worth > 0.0, self.set.max_attempts as usize);
         let (class, key, long) = (request.class, request.key, request.long);
-        let held = Held { class, key, aim_at, deadline, long, ..Held::default() };
+        let held = Held { class, key, aim_at, deadline, long, late, most, ..Held::default() };
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_RESERVE);
         // Who took all servers out will not put one back within a client's time.
         let all_out = self.tallies[request.class].allowed == 0 && !self.out.is_empty();
--- a/crates/decide/src/policy/attempts.rs
+++ b/crates/decide/src/policy/attempts.rs
@@ -5,7 +5,7 @@
 impl Balancer {
     pub(super) fn send(&mut self, now: Nanos, id: RequestId, patient: bool, out: &mut Vec<Action>) -> bool {
         let held = &self.requests[&id];
-        if held.attempts.len() >= self.set.max_attempts as usize || now >= held.deadline {
+        if held.attempts.len() >= held.most || now >= held.deadline {
             return false;
         }
         // The stated budget, at its strictest on both edges of its window, for all attempts after a first.
@@ -16,7 +16,7 @@
             return false;
         }
         // What cannot be answered in the time that is left would only keep others waiting.
-        let useful = if self.set.classes[held.class].late_worth > 0.0 { Nanos::MAX } else { held.aim_at };
+        let useful = if held.late { Nanos::MAX } else { held.aim_at };
         let left = useful.min(held.deadline).saturating_sub(now) as f64;
         if !held.long && self.usual[held.class].seen >= DEPTH_SAMPLES && left < self.within(held.class, -1.0)
         {
@@ -76,11 +76,11 @@
             Effect::Safe => true,
             Effect::Keyed { window, .. } => overdue < window,
         };
-        let spare = held.attempts.len() + 1 < self.set.max_attempts as usize && self.retries >= 1.0;
+        let spare = held.attempts.len() + 1 < held.most && self.retries >= 1.0;
         let end = now.saturating_add(overdue).saturating_add(usual.mean as Nanos);
         let time = end <= held.aim_at.min(held.deadline);
         // Under strain the aim ends it, if late answers are worth nothing: work may stop with it.
-        let cut = class.late_worth <= 0.0 && self.excess(held.class, 0.0) >= STRAIN_FROM;
+        let cut = !held.late && self.excess(held.class, 0.0) >= STRAIN_FROM;
         match again && spare && time {
             true => overdue,
             false => u64::from(cut) * held.aim_at.saturating_sub(now),
--- a/crates/decide/src/policy/mod.rs
+++ b/crates/decide/src/policy/mod.rs
@@ -109,6 +109,10 @@
             Event::Timer(0) => self.tick(now, out),
             Event::Peer { bytes, .. } => self.hear(now, &bytes),
             Event::Maintenance { server, out, since } => self.maintain(now, server, out, since),
+            Event::Reconfigured(figures) => {
+                self.tenants.resize(figures.tenants.len().max(self.tenants.len()), Decayed::default());
+                self.set.adopt(*figures);
+            }
             Event::Timer(_) | Event::Probed { .. } => {}
         }
     }
--- a/crates/decide/src/policy/state.rs
+++ b/crates/decide/src/policy/state.rs
@@ -66,8 +66,10 @@
     pub aim_at: Nanos,
     pub deadline: Nanos,
     pub attempts: Vec<Attempt>,
-    pub long: bool,           // Its body is still coming: it keeps no server busy.
-    pub over: bool,           // The final answer has been given.
+    pub long: bool, // Its body is still coming: it keeps no server busy.
+    pub over: bool, // The final answer has been given.
+    pub late: bool, // Late it is worth something; this and the attempts it may have are as when it came.
+    pub most: usize,
     pub waits: Option<Nanos>, // It waits for a server, and may until then.
 }
 
