Take revisions of the configuration between two requests, and serve calls about them

Need: a verified document has to come into force at a node that serves, as a whole, in order and never a lower one, and operators have to see, change and take back what is in force.

Change: node::configuration lays a document over the settings that the node was started with: class figures, tenants, and the limits max_attempts, over_share_worth, open_requests and fleet_requests. What it cannot apply is refused by key: routes, classes that it was not started with, unknown limits or units, limits above the platform's. An Applier prepares a revision on a thread that may block and hands the driver one input; the revision counts as in force only when the driver has said so. Tenants keep their numbers for as long as the process runs. The console has GET and POST /fleet/configuration, GET .../document and POST .../rollback. The way to the fleet is the trait Publisher, which Node::configure takes; nothing calls it yet, so run is as before. Arrival names a tenant that the node does not know, and only where revisions may add tenants, so that the driver resolves it against the revision in force.

--- /dev/null
+++ b/crates/node/src/configuration/baseline.rs
@@ -0,0 +1,154 @@
+//! What the node was started with, and how a document lays over it.
+
+use merlinfold_decide::interface::{Class, ClassFigures, Figures, Nanos, Settings};
+use merlinfold_revision::bounds::WHOLE_SHARE;
+use merlinfold_revision::{ClassProperties, Document, Limit, Tenant, Unit};
+use merlinfold_settings::{Names, Numbering};
+
+use super::tenants::TenantNumbers;
+use super::unsupported::Unsupported;
+
+/// Attempts that a request may have.
+const MAX_ATTEMPTS: &str = "max_attempts";
+/// Worth of a request beyond its tenant's quota, as a share of the usual.
+const OVER_SHARE_WORTH: &str = "over_share_worth";
+/// Requests that may be open at this node at once.
+const OPEN_REQUESTS: &str = "open_requests";
+/// Requests of all tenants over all nodes, of which tenants have shares.
+const FLEET_REQUESTS: &str = "fleet_requests";
+/// All limits that a node applies, for people.
+pub const LIMIT_NAMES: &str = "max_attempts, over_share_worth, open_requests and fleet_requests";
+
+const MILLION: f64 = 1e6;
+const MILLISECOND: Nanos = 1_000_000;
+
+/// What the node was started with.
+#[derive(Clone, Debug)]
+pub struct Baseline {
+    class_names: Numbering,
+    tenant_names: Numbering,
+    classes: Vec<Class>,
+    figures: Figures,
+    open_requests: usize,
+}
+
+impl Baseline {
+    /// Of these settings.
+    pub fn new(settings: &Settings, names: &Names, open_requests: usize) -> Self {
+        Baseline {
+            class_names: names.classes.clone(),
+            tenant_names: names.tenants.clone(),
+            classes: settings.classes.clone(),
+            figures: settings.figures(),
+            open_requests,
+        }
+    }
+
+    /// Tenants that the node was started with.
+    pub fn tenants(&self) -> usize {
+        self.figures.tenants.len()
+    }
+
+    /// Whether this node can apply the document. The first thing that it cannot is named.
+    pub fn check(&self, document: &Document) -> Result<(), Unsupported> {
+        if let Some(prefix) = document.routes.keys().next() {
+            return Err(Unsupported::Routes { prefix: prefix.clone() });
+        }
+        document.classes.iter().try_for_each(|(name, class)| self.check_class(name, class))?;
+        document.limits.iter().try_for_each(|(name, limit)| self.check_limit(name, limit))?;
+        let shared = document.tenants.iter().find(|(_, tenant)| tenant.share > 0);
+        match shared {
+            Some((tenant, _)) if !document.limits.contains_key(FLEET_REQUESTS) => {
+                Err(Unsupported::ShareOfNothing { tenant: tenant.clone() })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn check_class(&self, name: &str, properties: &ClassProperties) -> Result<(), Unsupported> {
+        let number = self.class_names.get(name);
+        let class = number.and_then(|number| self.classes.get(number));
+        let class = class.ok_or_else(|| Unsupported::UnknownClass { class: name.to_owned() })?;
+        let deadline_ms = class.deadline / MILLISECOND;
+        if u64::from(properties.aim_ms) > deadline_ms {
+            let (class, aim_ms) = (name.to_owned(), properties.aim_ms);
+            return Err(Unsupported::AimBeyondDeadline { class, aim_ms, deadline_ms });
+        }
+        Ok(())
+    }
+
+    fn check_limit(&self, name: &str, limit: &Limit) -> Result<(), Unsupported> {
+        let (expected, least, most) = match name {
+            MAX_ATTEMPTS => (Unit::Count, 1, u64::from(self.figures.max_attempts)),
+            OVER_SHARE_WORTH => (Unit::Millionths, 0, MILLION as u64),
+            OPEN_REQUESTS => (Unit::Count, 1, self.open_requests as u64),
+            FLEET_REQUESTS => (Unit::RequestsPer1000S, 1, u64::MAX),
+            _ => return Err(Unsupported::UnknownLimit { limit: name.to_owned() }),
+        };
+        let (limit_name, value, unit) = (name.to_owned(), limit.value, limit.unit);
+        if unit != expected {
+            return Err(Unsupported::LimitUnit { limit: limit_name, unit, expected });
+        }
+        if !(least..=most).contains(&value) {
+            return Err(Unsupported::LimitOutOfBounds { limit: limit_name, value, least, most });
+        }
+        Ok(())
+    }
+
+    /// Names of tenants that only the document knows.
+    pub fn added<'a>(&'a self, document: &'a Document) -> impl Iterator<Item = &'a str> {
+        let names = document.tenants.keys().map(String::as_str);
+        names.filter(|name| self.tenant_names.get(name).is_none())
+    }
+
+    /// The module's figures under a document that was checked.
+    pub fn figures(&self, document: &Document, numbers: &TenantNumbers) -> Figures {
+        let mut figures = self.figures.clone();
+        let value = |name| document.limits.get(name).map(|limit| limit.value);
+        for (name, properties) in &document.classes {
+            if let Some(number) = self.class_names.get(name) {
+                figures.classes[number] = class_figures(properties);
+            }
+        }
+        let unlimited = merlinfold_decide::interface::Tenant { quota_per_s: f64::INFINITY };
+        figures.tenants.resize(numbers.end(), unlimited);
+        let fleet = value(FLEET_REQUESTS);
+        for (name, tenant) in &document.tenants {
+            if let Some(number) = self.tenant_names.get(name).or_else(|| numbers.get(name)) {
+                figures.tenants[number].quota_per_s = quota(tenant, fleet);
+            }
+        }
+        if let Some(attempts) = value(MAX_ATTEMPTS).and_then(|attempts| u32::try_from(attempts).ok()) {
+            figures.max_attempts = attempts;
+        }
+        if let Some(worth) = value(OVER_SHARE_WORTH) {
+            figures.over_share_worth = worth as f64 / MILLION;
+        }
+        figures
+    }
+
+    /// Requests that may be open at once under a document that was checked.
+    pub fn open_requests(&self, document: &Document) -> usize {
+        let stated = document.limits.get(OPEN_REQUESTS).map(|limit| limit.value);
+        stated.and_then(|most| usize::try_from(most).ok()).unwrap_or(self.open_requests)
+    }
+}
+
+fn class_figures(properties: &ClassProperties) -> ClassFigures {
+    ClassFigures {
+        aim: u64::from(properties.aim_ms) * MILLISECOND,
+        worth: f64::from(properties.worth) / MILLION,
+        late_worth: f64::from(properties.late_worth) / MILLION,
+    }
+}
+
+/// Requests a second that count in full: the lesser of the tenant's own limit and its share of the fleet's.
+fn quota(tenant: &Tenant, fleet_requests_per_1000_s: Option<u64>) -> f64 {
+    let own = tenant.requests_per_1000_s.map_or(f64::INFINITY, |requests| requests as f64 / 1e3);
+    let share = f64::from(tenant.share) / f64::from(WHOLE_SHARE);
+    let shared = match fleet_requests_per_1000_s {
+        Some(requests) if tenant.share > 0 => share * requests as f64 / 1e3,
+        _ => f64::INFINITY,
+    };
+    own.min(shared)
+}
--- /dev/null
+++ b/crates/node/src/configuration/tenants.rs
@@ -0,0 +1,73 @@
+//! Numbers of tenants that came with a revision. A number is never used for another name.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use merlinfold_revision::bounds::{MAX_NAME_BYTES, MAX_TENANTS};
+use merlinfold_settings::Numbering;
+
+use super::unsupported::Unsupported;
+
+/// Tenants that may come and go while a process runs.
+pub const MAX_TENANT_NUMBERS: usize = 2 * MAX_TENANTS;
+
+/// A tenant as a request names it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NamedTenant {
+    /// One that the node was started with, by number.
+    Started(usize),
+    /// Any other name: whether there is such a tenant depends on the revision in force.
+    Other(Box<str>),
+}
+
+impl NamedTenant {
+    /// The tenant of this name. Other names than those of the start are kept only where revisions may add tenants.
+    pub fn named(name: &str, started: &Numbering, may_be_added: bool) -> Option<Self> {
+        match started.get(name) {
+            Some(number) => Some(NamedTenant::Started(number)),
+            None if may_be_added && name.len() <= MAX_NAME_BYTES => Some(NamedTenant::Other(name.into())),
+            None => None,
+        }
+    }
+}
+
+/// Numbers of all tenants that were ever added, behind those of the start.
+#[derive(Clone, Debug, Default)]
+pub struct TenantNumbers {
+    first: usize,
+    added: Arc<HashMap<Box<str>, usize>>,
+}
+
+impl TenantNumbers {
+    /// None yet, where the node was started with so many.
+    pub fn after(started: usize) -> Self {
+        TenantNumbers { first: started, added: Arc::default() }
+    }
+
+    /// The number of a tenant that was added at some time.
+    pub fn get(&self, name: &str) -> Option<usize> {
+        self.added.get(name).copied()
+    }
+
+    /// One more than the greatest number.
+    pub fn end(&self) -> usize {
+        self.first + self.added.len()
+    }
+
+    /// These numbers, and new ones for names that have none. Nothing is copied where all have one.
+    pub fn with<'a>(&self, names: impl Iterator<Item = &'a str>) -> Result<Self, Unsupported> {
+        let mut numbers = self.clone();
+        let new: Vec<&str> = names.filter(|name| !self.added.contains_key(*name)).collect();
+        if new.is_empty() {
+            return Ok(numbers);
+        }
+        if self.added.len() + new.len() > MAX_TENANT_NUMBERS {
+            return Err(Unsupported::TooManyTenants);
+        }
+        let added = Arc::make_mut(&mut numbers.added);
+        for (next, name) in (self.end()..).zip(new) {
+            added.insert(name.into(), next);
+        }
+        Ok(numbers)
+    }
+}
--- a/crates/node/src/console/mod.rs
+++ b/crates/node/src/console/mod.rs
@@ -1,11 +1,13 @@
 //! The operators' listener: one call a connection, handed to the driver and answered from its state.
 
+mod configuration;
 mod log;
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -26,6 +28,8 @@
 use crate::input::{Call, Input, Said};
 use merlinfold_fleet::LogHandle;
 
+pub use configuration::ConfigurationCalls;
+
 /// Callers at once. Beyond that a new one ends the one that came first, so those who sit there keep nobody out.
 pub const CALLERS_MOST: usize = 16;
 const CALL_TIMEOUT: Duration = Duration::from_secs(3); // for a whole call: callers wait 1 s
@@ -43,8 +47,15 @@
     socket.listen(BACKLOG)
 }
 
+/// What of the fleet operators may call, as far as the node has it.
+#[derive(Clone, Default)]
+pub struct FleetCalls {
+    pub log: Option<LogHandle>,
+    pub configuration: Option<Arc<ConfigurationCalls>>,
+}
+
 /// Takes calls for as long as the node runs.
-pub async fn serve(listener: TcpListener, inputs: UnboundedSender<Input>, log: Option<LogHandle>) {
+pub async fn serve(listener: TcpListener, inputs: UnboundedSender<Input>, fleet: FleetCalls) {
     let mut callers: VecDeque<AbortHandle> = VecDeque::new();
     let mut faults = Faults::default();
     let (tell, mut told) = tokio::sync::mpsc::channel(CALLERS_MOST);
@@ -56,7 +67,7 @@
                     if callers.len() >= CALLERS_MOST {
                         callers.pop_front().into_iter().for_each(|oldest| oldest.abort());
                     }
-                    callers.push_back(tokio::spawn(caller(stream, inputs.clone(), log.clone(), tell.clone())).abort_handle());
+                    callers.push_back(tokio::spawn(caller(stream, inputs.clone(), fleet.clone(), tell.clone())).abort_handle());
                 }
                 Err(error) => {
                     warn!(%error, "console: accept");
@@ -87,13 +98,13 @@
 }
 
 async fn caller(
-    stream: TcpStream, inputs: UnboundedSender<Input>, log: Option<LogHandle>,
+    stream: TcpStream, inputs: UnboundedSender<Input>, fleet: FleetCalls,
     faults: tokio::sync::mpsc::Sender<String>,
 ) {
     let service = service_fn(|request| {
-        let (inputs, log, faults) = (inputs.clone(), log.clone(), faults.clone());
+        let (inputs, fleet, faults) = (inputs.clone(), fleet.clone(), faults.clone());
         async move {
-            let answer = answer(request, &inputs, log).await.unwrap_or_else(|refusal| {
+            let answer = answer(request, &inputs, fleet).await.unwrap_or_else(|refusal| {
                 let _ = faults.try_send(refusal.fault.clone()); // a full channel says enough by what is in it
                 refusal.response()
             });
@@ -148,14 +159,18 @@
 }
 
 async fn answer(
-    request: Request<Incoming>, inputs: &UnboundedSender<Input>, log: Option<LogHandle>,
+    request: Request<Incoming>, inputs: &UnboundedSender<Input>, fleet: FleetCalls,
 ) -> Result<Response<Full<Bytes>>, Refusal> {
     let (head, body) = request.into_parts();
     let path = head.uri.path();
     let allowed = match path {
-        "/status" | "/status/metrics" | "/fleet/members" => "GET, HEAD",
-        "/maintenance/enter" | "/maintenance/exit" | "/standby" | "/active" => "POST",
-        "/fleet/log" => "GET, HEAD, POST",
+        "/status" | "/status/metrics" | "/fleet/members" | configuration::DOCUMENT_PATH => "GET, HEAD",
+        "/maintenance/enter"
+        | "/maintenance/exit"
+        | "/standby"
+        | "/active"
+        | configuration::ROLLBACK_PATH => "POST",
+        "/fleet/log" | configuration::PATH => "GET, HEAD, POST",
         _ => return Err(Refusal::new(StatusCode::NOT_FOUND, format!("no such call: {path:.100}"))),
     };
     if !allowed.split(", ").any(|method| method == head.method.as_str()) {
@@ -164,7 +179,10 @@
         return Err(Refusal { allow: Some(allowed), ..refusal });
     }
     if path == "/fleet/log" {
-        return self::log::answer(head.method, body, log).await;
+        return self::log::answer(head.method, body, fleet.log).await;
+    }
+    if path.starts_with(configuration::PATH) {
+        return configuration::answer(path, head.method, body, fleet.configuration).await;
     }
     let call = match path {
         "/status" => Call::Status,
@@ -196,14 +214,24 @@
 
 /// What a call's body says.
 async fn json<T: serde::de::DeserializeOwned>(path: &str, body: Incoming) -> Result<T, Refusal> {
+    let body = read_body(path, body, BODY_MOST).await?;
+    let fault = |error| Refusal::new(StatusCode::BAD_REQUEST, format!("{path}: body: {error}"));
+    serde_json::from_slice(&body).map_err(fault)
+}
+
+/// A call's body, of so many bytes at most.
+async fn read_body(path: &str, body: Incoming, most: usize) -> Result<Bytes, Refusal> {
     let fault = |status, what: String| Refusal::new(status, format!("{path}: {what}"));
-    let body = match timeout(CALL_TIMEOUT, Limited::new(body, BODY_MOST).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
+    match timeout(CALL_TIMEOUT, Limited::new(body, most).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            return Err(fault(StatusCode::PAYLOAD_TOO_LARGE, format!("body over {BODY_MOST} bytes")));
+            Err(fault(StatusCode::PAYLOAD_TOO_LARGE, format!("body over {most} bytes")))
         }
-        Ok(Err(error)) => return Err(fault(StatusCode::BAD_REQUEST, format!("body: {error}"))),
-        Err(_) => return Err(fault(StatusCode::REQUEST_TIMEOUT, "body not whole in time".to_owned())),
-    };
-    serde_json::from_slice(&body).map_err(|error| fault(StatusCode::BAD_REQUEST, format!("body: {error}")))
+        Ok(Err(error)) => Err(fault(StatusCode::BAD_REQUEST, format!("body: {error}"))),
+        Err(_) => Err(fault(StatusCode::REQUEST_TIMEOUT, "body not whole in time".to_owned())),
+    }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/console_configuration.rs"]
+mod configuration_calls;
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::body::Budget;
 use crate::clock::Clock;
+use crate::configuration::{Change, InForce};
 use crate::figures::{self, End, Figures, Totals};
 use crate::handover::{Orders, Shared};
 use crate::input::{Arrival, Call, Input, Reply, Said};
@@ -25,6 +26,7 @@
 use merlinfold_fleet::Snapshot;
 use merlinfold_settings::{HostLimits, Listed, Names};
 
+mod configuration;
 mod lists;
 mod open;
 mod orders;
@@ -64,6 +66,7 @@
     peers: Option<Peers>,
     fleet: Option<Box<Snapshot>>, // as last told; none: its part has not begun, or the node belongs to none
     in_fleet: bool,
+    in_force: Arc<InForce>,    // of the versioned configuration
     servers: Vec<Arc<Server>>, // by number
     table: HashMap<RequestId, Open>,
     due: BinaryHeap<Reverse<(Nanos, Due)>>,
@@ -99,6 +102,7 @@
             peers: None,
             fleet: None,
             in_fleet: false,
+            in_force: Arc::default(),
             servers: Vec::new(),
             table: HashMap::new(),
             due: BinaryHeap::from([
@@ -198,6 +202,10 @@
                 let answer = self.call(call);
                 let _ = said.send(answer); // a caller that has left wants no answer
             }
+            Input::Configuration { change, taken } => {
+                self.reconfigure(*change);
+                let _ = taken.send(()); // who waits for it is gone only when the process ends
+            }
             Input::Fleet(fleet) => self.fleet = Some(fleet),
             Input::Terminate => {
                 self.order(Order::Terminate);
@@ -274,3 +282,7 @@
 #[cfg(test)]
 #[path = "../../tests/unit/driver.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "../../tests/unit/reconfigured.rs"]
+mod reconfigured;
--- a/crates/node/src/driver/requests.rs
+++ b/crates/node/src/driver/requests.rs
@@ -6,6 +6,7 @@
     pub(super) fn request(&mut self, arrival: Arrival) {
         let Arrival { id, class, tenant, key, cost_hint, repeat, expires, outgoing, client } = arrival;
         let now = self.clock.now();
+        let tenant = tenant.and_then(|named| self.in_force.tenant(named));
         let deadline = expires.saturating_sub(MARGIN).max(now);
         self.figures.taken(class);
         let long = outgoing.upload().is_some();
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -29,6 +29,7 @@
 
 use crate::body::{gather, Broken, Budget, Gathered, Held, Relay, Upload, Waited};
 use crate::clock::Clock;
+use crate::configuration::NamedTenant;
 use crate::head::Asked;
 use crate::input::{Arrival, Input, Reply};
 use crate::lifecycle::Posture;
@@ -78,6 +79,7 @@
 pub struct Front {
     classes: Numbering,
     tenants: Numbering,
+    adds_tenants: bool, // revisions of the configuration may name others
     deadlines: Vec<Nanos>,
     posture: watch::Receiver<Posture>,
     room: Room,
@@ -96,6 +98,7 @@
         Front {
             classes: names.classes.clone(),
             tenants: names.tenants.clone(),
+            adds_tenants: false,
             deadlines: settings.classes.iter().map(|class| class.deadline).collect(),
             posture,
             room,
@@ -107,6 +110,11 @@
         }
     }
 
+    /// Revisions of the configuration may add tenants from now on.
+    pub fn expect_tenants(&mut self) {
+        self.adds_tenants = true;
+    }
+
     /// Accepts for as long as the posture says, and returns when all connections have ended.
     pub async fn serve(self: Arc<Self>, door: Door) {
         let (close, closing) = watch::channel(false);
@@ -336,7 +344,7 @@
             return Err(StatusCode::BAD_REQUEST);
         }
         let Asked { key, cost_hint, repeat, remaining, .. } = asked;
-        let tenant = asked.tenant.and_then(|name| self.tenants.get(name));
+        let tenant = asked.tenant.and_then(|name| NamedTenant::named(name, &self.tenants, self.adds_tenants));
         let bodiless = body.is_end_stream();
         let begun = Instant::now();
         let patient = match first {
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -6,6 +6,7 @@
 use merlinfold_fleet::Snapshot;
 use tokio::sync::oneshot;
 
+use crate::configuration::{Change, NamedTenant};
 use crate::figures::End;
 use crate::list::List;
 use crate::upstream::{Answer, Connection, Ended, Outgoing};
@@ -38,6 +39,11 @@
         from: u32,
         bytes: Vec<u8>,
     },
+    /// A revision of the configuration comes into force, as a whole.
+    Configuration {
+        change: Box<Change>,
+        taken: oneshot::Sender<()>,
+    },
     /// How this node sees its fleet now.
     Fleet(Box<Snapshot>),
     /// An operator's call.
@@ -79,7 +85,7 @@
 pub struct Arrival {
     pub id: RequestId,
     pub class: usize,
-    pub tenant: Option<usize>,
+    pub tenant: Option<NamedTenant>,
     pub key: Option<u64>,
     pub cost_hint: Option<Nanos>,
     pub repeat: bool,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod clock;
+pub mod configuration;
 mod console;
 mod discovery;
 mod driver;
@@ -31,6 +32,8 @@
 use tracing::{info, warn};
 
 use crate::clock::Clock;
+use crate::configuration::{Applier, Baseline, Publisher};
+use crate::console::ConfigurationCalls;
 use merlinfold_config::Fleet as FleetSettings;
 use merlinfold_decide::interface::{Discovery, Settings};
 use merlinfold_decide::policy::Balancer;
@@ -122,6 +125,8 @@
     peers: Option<peers::Peers>,
     discovery: discovery::Watcher,
     fleet: Option<(Fleet, watch::Receiver<Snapshot>)>,
+    baseline: Baseline,
+    configuration: Option<Arc<ConfigurationCalls>>,
     moves: watch::Sender<SocketAddr>,
     name: String,
 }
@@ -150,6 +155,7 @@
         let (discovery, watch) = discovery::Watcher::new(address, sender.clone(), asks);
         let memory = (config.limits.memory_mb.unwrap_or(MEMORY_LEAST) * f64::from(1 << 20)) as usize; // saturates
         let room = room::Room::new(config.limits.sockets, memory, false);
+        let baseline = Baseline::new(&settings, &names, host.open_requests);
         let balancer = Balancer::new(settings.clone(), seed);
         let mut driver =
             driver::Driver::new(balancer, names.clone(), clock, host, room.clone(), sender.clone(), watch);
@@ -164,8 +170,21 @@
         driver.known(config.known.unwrap_or_default(), !asks);
         let opens = driver.posture().borrow().opens;
         let door = front::Door::new(socket, opens).map_err(cannot("listen", config.listen))?;
-        let (fleet, name) = (None, config.name);
-        Ok(Node { door, front, driver, console, inputs, peers, discovery, fleet, moves, name })
+        let (fleet, configuration, name) = (None, None, config.name);
+        Ok(Node {
+            door,
+            front,
+            driver,
+            console,
+            inputs,
+            peers,
+            discovery,
+            fleet,
+            baseline,
+            configuration,
+            moves,
+            name,
+        })
     }
 
     /// Lets the node take part in a fleet under its own name. Serving waits for nothing that the fleet does.
@@ -178,6 +197,15 @@
         Ok(())
     }
 
+    /// Lets revisions of a versioned configuration come into force while the node runs. What brings them hands them to
+    /// the applier; operators publish through `publisher`.
+    pub fn configure(&mut self, publisher: impl FnOnce(Arc<Applier>) -> Arc<dyn Publisher>) {
+        let applier = Arc::new(Applier::new(self.baseline.clone(), self.driver.sender()));
+        let publisher = publisher(applier.clone());
+        self.front.expect_tenants();
+        self.configuration = Some(Arc::new(ConfigurationCalls::new(applier, publisher)));
+    }
+
     /// Where operators call, if anywhere.
     pub fn console(&self) -> Option<SocketAddr> {
         self.console.as_ref().and_then(|console| console.local_addr().ok())
@@ -206,7 +234,8 @@
         }
         if let Some(console) = self.console {
             let log = self.fleet.as_ref().and_then(|(fleet, _)| fleet.log());
-            parts.spawn(console::serve(console, sender.clone(), log));
+            let fleet = console::FleetCalls { log, configuration: self.configuration };
+            parts.spawn(console::serve(console, sender.clone(), fleet));
         }
         let (leave, leaves) = watch::channel(false);
         if let Some((fleet, seen)) = self.fleet {
--- /dev/null
+++ b/crates/node/tests/unit/console_configuration.rs
@@ -0,0 +1,219 @@
+use super::*;
+use std::sync::{Arc, Mutex};
+
+use crate::configuration::{
+    Applier, Baseline, FleetProgress, NotPublished, Publication, Publisher, Publishing, RevisionId,
+};
+use merlinfold_revision::{Delta, Document, Tenant};
+use merlinfold_settings::{Env, Names};
+use serde_json::{from_str, from_value, json, Value};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::mpsc;
+
+/// One that agrees to everything and has it applied here, unless it is told to say something else.
+struct Alone {
+    applier: Arc<Applier>,
+    published: Mutex<Vec<Publication>>,
+    says: Mutex<Option<NotPublished>>,
+}
+
+impl Publisher for Alone {
+    fn publish(&self, publication: Publication) -> Publishing<'_> {
+        Box::pin(async move {
+            if let Some(no) = self.says.lock().unwrap().clone() {
+                return Err(no);
+            }
+            let number = publication.base.map_or(0, |base| base.number) + 1;
+            let id = RevisionId { epoch: 1, number };
+            let (applier, document) = (self.applier.clone(), publication.document.clone());
+            let applied = tokio::task::spawn_blocking(move || applier.apply(id, &document)).await.unwrap();
+            applied.map_err(|error| NotPublished::Refused(error.to_string()))?;
+            self.published.lock().unwrap().push(publication);
+            Ok(id)
+        })
+    }
+
+    fn progress(&self) -> FleetProgress {
+        FleetProgress {
+            live: 3,
+            applied: 2,
+            behind: 1,
+            behind_names: vec!["n2".to_owned()],
+            ..Default::default()
+        }
+    }
+}
+
+struct Console {
+    address: SocketAddr,
+    alone: Arc<Alone>,
+}
+
+impl Console {
+    async fn start() -> Self {
+        let env: Env = from_value(json!({
+            "Categories": [{"Name": "read", "Aim": 400_000_000u64, "GiveUp": 1_000_000_000u64}],
+            "Limits": {"MaxAttempts": 3},
+        }))
+        .unwrap();
+        let mut names = Names::default();
+        let settings = env.settings(&mut names).unwrap();
+        let (inputs, mut taken_in) = mpsc::unbounded_channel();
+        let applier = Arc::new(Applier::new(Baseline::new(&settings, &names, 100), inputs.clone()));
+        let alone = Alone { applier: applier.clone(), published: Mutex::default(), says: Mutex::default() };
+        let alone = Arc::new(alone);
+        // In place of the driver.
+        tokio::spawn(async move {
+            while let Some(input) = taken_in.recv().await {
+                if let Input::Configuration { taken, .. } = input {
+                    taken.send(()).unwrap();
+                }
+            }
+        });
+        let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let configuration = Some(Arc::new(ConfigurationCalls::new(applier, alone.clone())));
+        tokio::spawn(serve(listener, inputs, FleetCalls { log: None, configuration }));
+        Console { address, alone }
+    }
+
+    /// Status and body of the answer to one call.
+    async fn call(&self, method: &str, path: &str, body: &str) -> (u16, String) {
+        let mut stream = TcpStream::connect(self.address).await.unwrap();
+        let length = body.len();
+        let call = format!("{method} {path} HTTP/1.1\r\nHost: c\r\nContent-Length: {length}\r\n\r\n{body}");
+        stream.write_all(call.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.unwrap();
+        let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+        (head.split(' ').nth(1).unwrap().parse().unwrap(), body.to_owned())
+    }
+
+    async fn standing(&self) -> Value {
+        let (status, body) = self.call("GET", "/fleet/configuration", "").await;
+        assert_eq!(status, 200, "{body}");
+        from_str(&body).unwrap()
+    }
+
+    /// Publishes a change of tenants on what is in force.
+    async fn publish(&self, tenants: Value) -> (u16, String) {
+        let here = &self.standing().await["here"];
+        let base = json!({"revision": here["revision"], "digest": here["digest"]});
+        let proposal = json!({"delta": {"base": base, "tenants": tenants}});
+        self.call("POST", "/fleet/configuration", &proposal.to_string()).await
+    }
+}
+
+fn tenant(requests_per_1000_s: u64) -> Value {
+    json!({"set": {"t": {"share": 0, "requests_per_1000_s": requests_per_1000_s}}})
+}
+
+#[tokio::test]
+async fn a_change_is_published_and_shown_and_gone_back_from() {
+    let console = Console::start().await;
+    let (status, body) = console.publish(tenant(5_000)).await;
+    assert_eq!((status, from_str::<Value>(&body).unwrap()), (200, json!({"revision": 1, "epoch": 1})));
+    assert_eq!(console.publish(tenant(7_000)).await.0, 200);
+    let standing = console.standing().await;
+    assert_eq!(standing["here"]["revision"], 2);
+    assert_eq!(
+        (&standing["fleet"]["behind"], &standing["fleet"]["behind_names"][0]),
+        (&json!(1), &json!("n2"))
+    );
+
+    let (status, body) =
+        console.call("POST", "/fleet/configuration/rollback", r#"{"from": 2, "to": 1}"#).await;
+    assert_eq!((status, from_str::<Value>(&body).unwrap()), (200, json!({"revision": 3, "epoch": 1})));
+    let (status, body) = console.call("GET", "/fleet/configuration/document", "").await;
+    let document: Document = from_str(&body).unwrap();
+    assert_eq!(
+        (status, document.tenants["t"].clone()),
+        (200, Tenant { share: 0, requests_per_1000_s: Some(5_000) })
+    );
+    assert_eq!(console.standing().await["here"]["digest"], json!(document.digest()));
+}
+
+/// Guards what nodes are sent: document and delta are canonical and lead to the same.
+#[tokio::test]
+async fn what_is_published_is_the_delta_and_what_it_makes() {
+    let console = Console::start().await;
+    console.publish(tenant(5_000)).await;
+    console.publish(json!({"remove": ["t"]})).await;
+    let published = console.alone.published.lock().unwrap().clone();
+    let bases: Vec<Option<u64>> = published.iter().map(|one| one.base.map(|base| base.number)).collect();
+    assert_eq!(bases, [None, Some(1)], "a first revision has no base");
+    let deltas = || published.iter().zip(1..).map(|(one, number)| (number, &one.delta[..]));
+    assert_eq!(Applier::compose(&[], 0, deltas().take(1)).unwrap(), published[0].document.to_vec());
+    assert_eq!(Applier::compose(&[], 0, deltas()).unwrap(), published[1].document.to_vec());
+    assert!(Delta::decode(&published[1].delta).unwrap().tenants.remove.contains("t"));
+}
+
+#[tokio::test]
+async fn what_is_wrong_with_a_change_is_told_and_nothing_is_published() {
+    let console = Console::start().await;
+    let digest = Document::default().digest();
+    let delta = |revision: u64, change: &str| {
+        format!(r#"{{"delta": {{"base": {{"revision": {revision}, "digest": "{digest}"}}, {change}}}}}"#)
+    };
+    let set =
+        |section: &str, key: &str, value: &str| format!(r#""{section}": {{"set": {{"{key}": {value}}}}}"#);
+    let class = r#"{"aim_ms": 1, "worth": 1, "late_worth": 0}"#;
+    for (body, status, says) in [
+        (delta(1, &set("tenants", "t", "{\"share\": 0}")), 409, "base: 1, but revision 0 is in force"),
+        (delta(0, &set("tenants", "t t", "{\"share\": 0}")), 400, "tenants.\"t t\": the name has a space"),
+        (delta(0, &set("classes", "other", class)), 400, "classes.other: this node was started without it"),
+        (delta(0, &set("tenants", "t", "{\"shares\": 0}")), 400, "body: unknown field `shares`"),
+        (delta(0, r#""tenants": {}"#), 400, "delta: it changes nothing"),
+        ("{}".to_owned(), 400, "body: missing field `delta`"),
+    ] {
+        let (answered, text) = console.call("POST", "/fleet/configuration", &body).await;
+        assert_eq!(answered, status, "{body}: {text}");
+        assert!(text.contains(says), "{body}: {text}");
+    }
+    let (status, text) =
+        console.call("POST", "/fleet/configuration/rollback", r#"{"from": 4, "to": 1}"#).await;
+    assert_eq!((status, text.contains("revision 0 is in force")), (409, true), "{text}");
+    let (status, text) =
+        console.call("POST", "/fleet/configuration/rollback", r#"{"from": 0, "to": 7}"#).await;
+    assert_eq!((status, text.contains("revision 7 is not held here")), (409, true), "{text}");
+    assert!(console.alone.published.lock().unwrap().is_empty());
+}
+
+#[tokio::test]
+async fn why_nothing_was_published_is_told() {
+    let console = Console::start().await;
+    for (no, status) in [
+        (NotPublished::Conflict("another was first".to_owned()), 409),
+        (NotPublished::Refused("too long".to_owned()), 400),
+        (NotPublished::Unconfirmed, 503),
+        (NotPublished::Unavailable("busy".to_owned()), 503),
+    ] {
+        *console.alone.says.lock().unwrap() = Some(no.clone());
+        let (answered, text) = console.publish(tenant(1)).await;
+        assert_eq!((answered, text), (status, format!("{no}\n")));
+    }
+    assert_eq!(console.standing().await["here"]["revision"], 0);
+}
+
+/// Guards the size that is planned for: all tenants in one change, read from an operator's JSON.
+#[tokio::test]
+async fn a_change_of_all_tenants_fits() {
+    let console = Console::start().await;
+    let tenants: serde_json::Map<String, Value> = (0..30_000)
+        .map(|n| (format!("tenant-{n:05}"), json!({"share": 0, "requests_per_1000_s": 1 + n})))
+        .collect();
+    let (status, text) = console.publish(json!({"set": tenants})).await;
+    assert_eq!(status, 200, "{text}");
+    assert_eq!(console.alone.applier.document().tenants.len(), 30_000);
+}
+
+#[tokio::test]
+async fn a_node_without_it_says_so() {
+    let (inputs, _taken_in) = mpsc::unbounded_channel();
+    let listener = listen("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve(listener, inputs, FleetCalls::default()));
+    let alone = Console::start().await.alone;
+    let (status, text) = Console { address, alone }.call("GET", "/fleet/configuration", "").await;
+    assert_eq!((status, text.contains("[fleet.configuration]")), (404, true), "{text}");
+}
