--- a/crates/node/src/configuration/applier.rs
+++ b/crates/node/src/configuration/applier.rs
@@ -1,5 +1,6 @@
 //! The host of [`ActiveRevision`]: documents come in on threads that may block, changes go to the driver.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard};
 use std::time::{Instant, SystemTime};
 
@@ -83,6 +84,8 @@
     summary: Mutex<Summary>,
     /// Held while a revision is on its way to the driver, so that the next one waits.
     turn: Mutex<()>,
+    /// The next revision may be a lower one.
+    set_aside: AtomicBool,
     inputs: UnboundedSender<Input>,
 }
 
@@ -92,7 +95,13 @@
         let active = ActiveRevision::new(baseline);
         let (id, digest) = (active.id(), active.digest());
         let summary = Summary { id, digest, earliest_held: None, since: None, refused: None };
-        Applier { active: RwLock::new(active), summary: Mutex::new(summary), turn: Mutex::default(), inputs }
+        Applier {
+            active: RwLock::new(active),
+            summary: Mutex::new(summary),
+            turn: Mutex::default(),
+            set_aside: AtomicBool::new(false),
+            inputs,
+        }
     }
 
     /// Applies encoded deltas, in order, to an encoded document; no bytes stand for the empty document. Nothing comes
@@ -112,6 +121,9 @@
     /// Puts a document whose digest was verified in force, and returns when the driver has taken it. Blocks.
     pub fn apply(&self, id: RevisionId, document: &[u8]) -> Result<(), ApplyError> {
         let _turn = self.turn.lock().unwrap_or_else(PoisonError::into_inner);
+        if self.set_aside.swap(false, Ordering::Relaxed) {
+            self.active.write().unwrap_or_else(PoisonError::into_inner).set_aside();
+        }
         let prepared = self.active().prepare(id, document).inspect_err(|refusal| self.refuse(id, refusal))?;
         let (taken, is_taken) = oneshot::channel();
         let change = Box::new(prepared.change());
@@ -143,9 +155,9 @@
         self.summary().refused = Some(RefusedRevision { revision, epoch, fault, at });
     }
 
-    /// What is in force is not of this fleet's log: it serves on, and any other revision may follow it.
+    /// What is in force is not of this fleet's log: it serves on, and any other revision may follow it. Does not block.
     pub fn set_aside(&self) {
-        self.active.write().unwrap_or_else(PoisonError::into_inner).set_aside();
+        self.set_aside.store(true, Ordering::Relaxed);
     }
 
     /// The document that a delta would make here, checked against all that can be known before it is proposed, and
--- a/crates/node/tests/unit/configuration.rs
+++ b/crates/node/tests/unit/configuration.rs
@@ -241,3 +241,28 @@
     let fault = Applier::compose(&[], 0, given().skip(1)).unwrap_err();
     assert!(matches!(fault, ApplyError::Delta(_)), "{fault}");
 }
+
+/// Guards a node from yesterday: what its disk held is not of this log, and what the log has must come into force.
+#[test]
+fn a_lower_revision_follows_one_that_was_set_aside_and_nothing_else() {
+    let (applier, mut inputs) = applier();
+    let apply = |id: RevisionId, document: Document, inputs: &mut mpsc::UnboundedReceiver<Input>| {
+        let applying = {
+            let applier = applier.clone();
+            std::thread::spawn(move || applier.apply(id, &document.encode()))
+        };
+        while !applying.is_finished() {
+            if let Ok(Input::Configuration { taken, .. }) = inputs.try_recv() {
+                taken.send(()).unwrap();
+            }
+            std::thread::yield_now();
+        }
+        applying.join().unwrap()
+    };
+    apply(id(2, 9), document(), &mut inputs).unwrap();
+    assert!(matches!(apply(id(2, 3), Document::default(), &mut inputs), Err(ApplyError::Refused(_))));
+    applier.set_aside();
+    assert_eq!(applier.shown().revision, 9, "it serves on");
+    apply(id(2, 3), Document::default(), &mut inputs).unwrap();
+    assert!(matches!(apply(id(2, 2), document(), &mut inputs), Err(ApplyError::Refused(_))));
+}
