Join the fleet's distribution of configuration to the node

Need: crates/distribution spreads documents as bytes and crates/node takes and publishes documents; nothing joined them. Change: an adapter of two types (NodeContent, FleetPublisher); a node that joins a fleet whose merlinfold.toml has [fleet.configuration] takes revisions between two requests and serves the calls of /fleet/configuration.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 mod body;
 mod capacity;
 mod clock;
+pub mod configuration;
 mod console;
 mod discovery;
 mod driver;
@@ -31,6 +32,8 @@
 use tracing::{info, warn};
 
 use crate::clock::Clock;
+use crate::configuration::{Applier, Baseline, FleetPublisher, NodeContent, Publisher};
+use crate::console::ConfigurationCalls;
 use merlinfold_config::Fleet as FleetSettings;
 use merlinfold_decide::interface::{Discovery, Settings};
 use merlinfold_decide::policy::Balancer;
@@ -122,6 +125,8 @@
     peers: Option<peers::Peers>,
     discovery: discovery::Watcher,
     fleet: Option<(Fleet, watch::Receiver<Snapshot>)>,
+    baseline: Baseline,
+    configuration: Option<Arc<ConfigurationCalls>>,
     moves: watch::Sender<SocketAddr>,
     name: String,
 }
@@ -151,6 +156,7 @@
         let (discovery, watch) = discovery::Watcher::new(address, sender.clone(), asks, known);
         let memory = (config.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * f64::from(1 << 20)) as usize; // saturates
         let capacity = capacity::Capacity::new(config.limits.sockets, memory, false);
+        let baseline = Baseline::new(&settings, &names, host.open_requests);
         let balancer = Balancer::new(settings.clone(), seed);
         let mut driver = driver::Driver::new(
             balancer,
@@ -172,20 +178,49 @@
         driver.known(config.known.unwrap_or_default(), !asks);
         let opens = driver.posture().borrow().opens;
         let listener = front::ClientListener::new(socket, opens).map_err(cannot("listen", config.listen))?;
-        let (fleet, name) = (None, config.name);
-        Ok(Node { listener, front, driver, console, inputs, peers, discovery, fleet, moves, name })
+        let (fleet, configuration, name) = (None, None, config.name);
+        Ok(Node {
+            listener,
+            front,
+            driver,
+            console,
+            inputs,
+            peers,
+            discovery,
+            fleet,
+            baseline,
+            configuration,
+            moves,
+            name,
+        })
     }
 
     /// Lets the node take part in a fleet under its own name. Serving waits for nothing that the fleet does.
     pub fn join(&mut self, settings: FleetSettings, disks: Disks) -> Result<(), String> {
         let at = settings.listen;
         let opened = Fleet::open(&self.name, settings);
-        let (fleet, seen) = opened.map_err(|error| format!("fleet.listen: cannot use {at}: {error}"))?;
+        let (mut fleet, seen) = opened.map_err(|error| format!("fleet.listen: cannot use {at}: {error}"))?;
+        self.distribute(&mut fleet);
         self.fleet = Some((fleet.on(disks), seen));
         self.driver.expect_fleet();
         Ok(())
     }
 
+    /// Takes configuration from the fleet, where its settings say so.
+    fn distribute(&mut self, fleet: &mut Fleet) {
+        let applier = Arc::new(Applier::new(self.baseline.clone(), self.driver.sender()));
+        let content = Arc::new(NodeContent(applier.clone()));
+        let Some(handle) = fleet.serve_configuration(content) else { return };
+        self.configure(applier, Arc::new(FleetPublisher(handle)));
+    }
+
+    /// Lets revisions of a versioned configuration come into force while the node runs. What brings them hands them to
+    /// the applier; operators publish through `publisher`.
+    fn configure(&mut self, applier: Arc<Applier>, publisher: Arc<dyn Publisher>) {
+        self.front.expect_tenants();
+        self.configuration = Some(Arc::new(ConfigurationCalls::new(applier, publisher)));
+    }
+
     /// Where operators call, if anywhere.
     pub fn console(&self) -> Option<SocketAddr> {
         self.console.as_ref().and_then(|console| console.local_addr().ok())
@@ -214,7 +249,8 @@
         }
         if let Some(console) = self.console {
             let log = self.fleet.as_ref().and_then(|(fleet, _)| fleet.log());
-            parts.spawn(console::serve(console, sender.clone(), log));
+            let fleet = console::FleetCalls { log, configuration: self.configuration };
+            parts.spawn(console::serve(console, sender.clone(), fleet));
         }
         let (leave, leaves) = watch::channel(false);
         if let Some((fleet, seen)) = self.fleet {
