--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -4,11 +4,10 @@
 #[path = "common/member.rs"]
 mod member;
 
-use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::process::{Child, Command, Output, Stdio};
+use std::net::TcpListener;
+use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
