--- a/crates/lab/src/scale/cluster.rs
+++ b/crates/lab/src/scale/cluster.rs
@@ -19,12 +19,12 @@
 const FORM_WITHIN: Duration = Duration::from_secs(60); // for a fleet to see itself whole
 
 /// A child process that takes lines of JSON; killed when it is dropped.
-struct Helper {
+struct ChildProcess {
     orders: ChildStdin,
     child: Child,
 }
 
-impl Helper {
+impl ChildProcess {
     fn start(role: &str) -> Result<(Self, Lines<BufReader<ChildStdout>>), String> {
         let own = std::env::current_exe().map_err(|error| format!("cannot name this program: {error}"))?;
         let mut child = Command::new(own)
@@ -39,7 +39,7 @@
         let (Some(orders), Some(told)) = (child.stdin.take(), child.stdout.take()) else {
             return Err(format!("{role}: no standard input or output"));
         };
-        Ok((Helper { orders, child }, BufReader::new(told).lines()))
+        Ok((ChildProcess { orders, child }, BufReader::new(told).lines()))
     }
 
     async fn tell<T: Serialize>(&mut self, order: &T) -> Result<(), String> {
@@ -53,8 +53,8 @@
 
 /// A fleet of hollow nodes.
 pub struct Cluster {
-    processes: Vec<Helper>,
-    relays: Option<Helper>,
+    processes: Vec<ChildProcess>,
+    relays: Option<ChildProcess>,
     told: mpsc::UnboundedReceiver<(usize, Result<Sample, String>)>,
     series: Vec<Series>,
     live: Vec<bool>,
@@ -74,19 +74,19 @@
         let plan = FleetPlan { listen_range: of(ranges.first()), reach_range: of(ranges.last()), log };
         let mut relays = None;
         if relayed {
-            let (mut helper, mut told) = Helper::start("relays")?;
-            helper.tell(&RelayOrder::SetUp(plan.clone(), nodes)).await?;
+            let (mut process, mut told) = ChildProcess::start("relays")?;
+            process.tell(&RelayOrder::SetUp(plan.clone(), nodes)).await?;
             let ready = told.next_line().await.map_err(|error| format!("relays: {error}"))?;
             ready.ok_or("the relays ended at once")?;
-            relays = Some(helper);
+            relays = Some(process);
         }
         let count = nodes.div_ceil(NODES_A_PROCESS).min(PROCESSES_MAX);
         let (tell, told) = mpsc::unbounded_channel();
         let mut processes = Vec::new();
-        for process in 0..count {
-            let (helper, lines) = Helper::start("hollow")?;
-            tokio::spawn(read_samples(process, lines, tell.clone()));
-            processes.push(helper);
+        for number in 0..count {
+            let (process, lines) = ChildProcess::start("hollow")?;
+            tokio::spawn(read_samples(number, lines, tell.clone()));
+            processes.push(process);
         }
         let mut cluster = Cluster {
             processes,
@@ -204,8 +204,8 @@
 
     /// Ends all processes.
     pub async fn end(mut self) {
-        for helper in self.processes.iter_mut().chain(&mut self.relays) {
-            let _ = helper.child.kill().await; // one that has ended by itself is gone all the same
+        for process in self.processes.iter_mut().chain(&mut self.relays) {
+            let _ = process.child.kill().await; // one that has ended by itself is gone all the same
         }
     }
 }
