Untie configuration and input in the node, as the module graph's test asks

Cause: seen by no_module_depends_on_itself_through_others after the parts were joined: Applier sent Input::Configuration, and input.rs names the configuration's types. Change: the applier is given how to deliver a change; input.rs says how that reaches the driver.

--- a/crates/node/src/configuration/applier.rs
+++ b/crates/node/src/configuration/applier.rs
@@ -7,14 +7,13 @@
 use merlinfold_revision::{DecodeError, Delta, Digest, Document, Fault, NotHeld, Revision};
 use serde::Serialize;
 use thiserror::Error;
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 use tracing::{info, warn};
 
 use super::active::{ActiveRevision, Prepared, Refusal, RevisionId};
 use super::baseline::Baseline;
+use super::change::Change;
 use super::unsupported::Unsupported;
-use crate::input::Input;
 
 /// Why a revision did not come into force, or a change cannot be proposed.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -78,6 +77,9 @@
     refused: Option<RefusedRevision>,
 }
 
+/// Hands a change to the driver, which answers when it has taken it; false: the driver is gone.
+type Deliver = Box<dyn Fn(Box<Change>, oneshot::Sender<()>) -> bool + Send + Sync>;
+
 /// Brings revisions into force, one at a time.
 pub struct Applier {
     active: RwLock<ActiveRevision>,
@@ -86,12 +88,15 @@
     turn: Mutex<()>,
     /// The next revision may be a lower one.
     set_aside: AtomicBool,
-    inputs: UnboundedSender<Input>,
+    deliver: Deliver,
 }
 
 impl Applier {
-    /// For a node with this baseline whose driver takes these inputs.
-    pub(crate) fn new(baseline: Baseline, inputs: UnboundedSender<Input>) -> Self {
+    /// For a node with this baseline, whose driver is reached by `deliver`.
+    pub(crate) fn new(
+        baseline: Baseline,
+        deliver: impl Fn(Box<Change>, oneshot::Sender<()>) -> bool + Send + Sync + 'static,
+    ) -> Self {
         let active = ActiveRevision::new(baseline);
         let (id, digest) = (active.id(), active.digest());
         let summary = Summary { id, digest, earliest_held: None, since: None, refused: None };
@@ -100,7 +105,7 @@
             summary: Mutex::new(summary),
             turn: Mutex::default(),
             set_aside: AtomicBool::new(false),
-            inputs,
+            deliver: Box::new(deliver),
         }
     }
 
@@ -127,7 +132,9 @@
         let prepared = self.active().prepare(id, document).inspect_err(|refusal| self.refuse(id, refusal))?;
         let (taken, is_taken) = oneshot::channel();
         let change = Box::new(prepared.change());
-        self.inputs.send(Input::Configuration { change, taken }).map_err(|_| ApplyError::Ended)?;
+        if !(self.deliver)(change, taken) {
+            return Err(ApplyError::Ended);
+        }
         is_taken.blocking_recv().map_err(|_| ApplyError::Ended)?;
         self.commit(prepared);
         Ok(())
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -4,6 +4,7 @@
 
 use merlinfold_decide::interface::{Nanos, RequestId, ServerId};
 use merlinfold_fleet::Snapshot;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
 use crate::configuration::{Change, NamedTenant};
@@ -106,3 +107,8 @@
     /// The client did not send what it owed.
     Stalled,
 }
+
+/// Hands changes of the configuration to the driver that takes these inputs; what it gives is false once that is gone.
+pub fn deliver_changes(inputs: UnboundedSender<Input>) -> impl Fn(Box<Change>, oneshot::Sender<()>) -> bool {
+    move |change, taken| inputs.send(Input::Configuration { change, taken }).is_ok()
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -208,7 +208,8 @@
 
     /// Takes configuration from the fleet, where its settings say so.
     fn distribute(&mut self, fleet: &mut Fleet) {
-        let applier = Arc::new(Applier::new(self.baseline.clone(), self.driver.sender()));
+        let applier =
+            Arc::new(Applier::new(self.baseline.clone(), input::deliver_changes(self.driver.sender())));
         let content = Arc::new(NodeContent(applier.clone()));
         let Some(handle) = fleet.serve_configuration(content) else { return };
         self.configure(applier, Arc::new(FleetPublisher(handle)));
--- a/crates/node/tests/unit/configuration.rs
+++ b/crates/node/tests/unit/configuration.rs
@@ -7,7 +7,7 @@
 use serde_json::{from_value, json};
 use tokio::sync::mpsc;
 
-use crate::input::Input;
+use crate::input::{deliver_changes, Input};
 
 fn baseline() -> (Baseline, Settings) {
     let env: Env = from_value(json!({
@@ -181,7 +181,7 @@
 
 fn applier() -> (Arc<Applier>, mpsc::UnboundedReceiver<Input>) {
     let (inputs, taken) = mpsc::unbounded_channel();
-    (Arc::new(Applier::new(baseline().0, inputs)), taken)
+    (Arc::new(Applier::new(baseline().0, deliver_changes(inputs))), taken)
 }
 
 /// Guards "applied": silence of the driver must not be read as a yes.
--- a/crates/node/tests/unit/console_configuration.rs
+++ b/crates/node/tests/unit/console_configuration.rs
@@ -59,7 +59,10 @@
         let mut names = Names::default();
         let settings = env.settings(&mut names).unwrap();
         let (inputs, mut taken_in) = mpsc::unbounded_channel();
-        let applier = Arc::new(Applier::new(Baseline::new(&settings, &names, 100), inputs.clone()));
+        let applier = Arc::new(Applier::new(
+            Baseline::new(&settings, &names, 100),
+            crate::input::deliver_changes(inputs.clone()),
+        ));
         let alone = Alone { applier: applier.clone(), published: Mutex::default(), says: Mutex::default() };
         let alone = Arc::new(alone);
         // In place of the driver.
