Record the end of an upload whatever frame ends it

Cause: AttemptBody noted the end of an upload only when its source yielded nothing more, or said so with the last data. The last frame of a body with trailers is the trailers; the source does not say that it has ended, and hyper does not poll a body again after trailers. So completed_at stayed unset, a broken connection counted as ConnectFailed ("never ran"), and the time of the attempt, which counts from that record, never began.

Change: whatever is not data ends the body and records it before the connection can write the last byte. Trailers are dropped, as they already were from held bodies and from answers. The same record counts the attempt, so the figure upstream_requests cannot differ from it any more: a long request that timed out was never counted.

Evidence: the new test fails on the landed code in three ways, each alone: POST, trailers, server closes: 503 for 502; POST, trailers, server hangs: no answer in 10 s (0.5 s stated); GET, chunked, over 64 KiB, no trailers: no answer, because hyper sends a GET of unknown length as if it had no body and never polls it. The node now names the framing itself. Excluded: without trailers, or told in length, the same breaks gave 502 before and do so now (the two older tests of the file).

Read and found sound: told lengths (the source says its end with the last byte), a prefix that is the whole body, a body whose client stalls (it is never ended towards the server), answers with trailers or ended by the close (the relay is polled until its source yields nothing; a_long_response_passes_in_any_framing counts them as completed).

A debug line now names the status and the error of a connection that ended before its response.

--- a/crates/cli/tests/bodies.rs
+++ b/crates/cli/tests/bodies.rs
@@ -203,13 +203,6 @@
     };
     let content_length = |body: &[u8]| format!("Content-Length: {}\r\nX-Txn", body.len());
     let (body, more) = (pattern(LONG), pattern(16 * LONG));
-    let mut chunked: Vec<u8> = Vec::new();
-    for chunk in more.chunks(70_001) {
-        write!(chunked, "{:x}\r\n", chunk.len()).unwrap();
-        chunked.extend_from_slice(chunk);
-        chunked.extend_from_slice(b"\r\n");
-    }
-    chunked.extend_from_slice(b"0\r\n\r\n");
     assert_eq!(ask("whole", &content_length(&body), &body), (200, "same".to_owned()));
     assert_eq!(
         ask("early", &content_length(&more), &more).0,
@@ -217,13 +210,72 @@
         "the last byte of the request was never written"
     );
     assert_eq!(ask("late", &content_length(&body), &body).0, 502, "the request may have run");
-    assert_eq!(ask("early", "Transfer-Encoding: chunked\r\nX-Txn", &chunked).0, 503);
+    assert_eq!(ask("early", "Transfer-Encoding: chunked\r\nX-Txn", &chunked(&more, "")).0, 503);
     node.wait_for("pending", 0);
     let count = |end: &str| node.metric(&format!("downstream_requests.pay.{end}"));
     assert_eq!((count("completed"), count("rejected"), count("failed")), (1, 2, 1));
     assert_eq!(node.metric("upstream_requests"), 2, "attempts whose last byte was written");
 }
 
+/// Returns a chunked body with these trailer lines.
+fn chunked(body: &[u8], trailers: &str) -> Vec<u8> {
+    let mut text: Vec<u8> = Vec::new();
+    for chunk in body.chunks(70_001) {
+        write!(text, "{:x}\r\n", chunk.len()).unwrap();
+        text.extend_from_slice(chunk);
+        text.extend_from_slice(b"\r\n");
+    }
+    write!(text, "0\r\n{trailers}\r\n").unwrap();
+    text
+}
+
+/// Reads a request with a chunked body, with or without trailers. Returns `None` if it ends too early.
+fn read_chunked_request(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
+    let head = read_head(stream);
+    let mut text = Vec::new();
+    let mut piece = [0; 1 << 16];
+    while !(text.ends_with(b"\r\n\r\n") && decode_chunked(&text).is_some()) {
+        let length = stream.read(&mut piece).ok().filter(|&length| length > 0)?;
+        text.extend_from_slice(&piece[..length]);
+    }
+    Some((head, decode_chunked(&text)?))
+}
+
+/// Guards against repeated side effects: a long request that ends with trailers has run once its server has it. The end
+/// of such an upload was not recorded, so a broken connection was answered with 503 and an unresponsive server with
+/// nothing.
+#[test]
+fn a_long_request_that_ran_is_never_refused_whatever_ends_its_body() {
+    let node = node_in_front_of(start_raw_server(|mut stream| {
+        let Some((head, body)) = read_chunked_request(&mut stream) else { return };
+        assert!(body == pattern(100_000), "another body arrived");
+        if head.contains("end=answer") {
+            stream.write_all(b"HTTP/1.1 200 x\r\nConnection: close\r\nContent-Length: 3\r\n\r\nran").unwrap();
+        } else if head.contains("end=hang") {
+            let _ = stream.read(&mut [0]); // until the node closes the connection
+        }
+    }));
+    let trailers = ["", "X-Sum: 1\r\n", "X-Sum: 1\r\nX-Sum: 2\r\nX-Note: end\r\n"];
+    let ends = [("answer", 200), ("close", 502), ("hang", 502)];
+    for method in ["POST", "GET"] {
+        for trailers in trailers {
+            for (end, status) in ends {
+                let case = format!("{method}, {end}, trailers {trailers:?}");
+                let mut client = node.client();
+                let head = get("pay").replace("GET /pay", &format!("{method} /pay?end={end}"));
+                let headers = "Transfer-Encoding: chunked\r\nX-Remaining-Ms: 500\r\nX-Txn";
+                client.write(&head.replace("X-Txn", headers));
+                client.send(&chunked(&pattern(100_000), trailers));
+                let answer = client.read().unwrap_or_else(|| panic!("no answer: {case}"));
+                assert_eq!(answer.status(), status, "{case}");
+            }
+        }
+    }
+    node.wait_for("pending", 0);
+    assert_eq!(node.metric("downstream_requests.pay.rejected"), 0);
+    assert_eq!(node.metric("upstream_requests"), 18, "attempts whose last byte was written");
+}
+
 /// Conflicting lengths allow request smuggling, and a body that never ends would hold a slot.
 #[test]
 fn conflicting_lengths_and_stalled_bodies_are_refused() {
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -18,6 +18,7 @@
 
 use crate::capacity::{Slots, BODY_UNIT_BYTES};
 use crate::clock::Clock;
+use crate::metrics::AttemptCounter;
 
 /// Maximum size of a request or response body that is buffered, in bytes.
 pub const MAX_BUFFERED_BODY_BYTES: usize = 64 << 10;
@@ -187,7 +188,12 @@
         self.stalled.load(Ordering::Relaxed)
     }
 
-    /// Returns when the last byte was handed to a connection.
+    /// Returns the length of the body, if the client stated it.
+    pub fn length(&self) -> Option<u64> {
+        self.length
+    }
+
+    /// Returns when the last byte was handed to a connection. From then on a server may run the request.
     pub fn completed_at(&self) -> Option<Nanos> {
         Some(self.completed_at.load(Ordering::Relaxed)).filter(|&at| at > 0)
     }
@@ -203,9 +209,15 @@
         }
     }
 
-    fn complete(&self) {
-        self.completed_at.store(self.clock.now(), Ordering::Relaxed);
+    /// Records that the connection has the last byte. It must come before the connection can write that byte, whatever
+    /// frame ends the body: an upload without this record counts as never run. Returns whether it is the first record.
+    fn complete(&self) -> bool {
+        if self.completed_at().is_some() {
+            return false;
+        }
+        self.completed_at.store(self.clock.now().max(1), Ordering::Relaxed);
         self.completion.notify_waiters();
+        true
     }
 }
 
@@ -221,13 +233,15 @@
         prefix_sent: bool,
         /// Runs while the client owes more bytes; the client counts as stalled when it elapses.
         stall_timer: Option<Pin<Box<Sleep>>>,
+        /// Counts the attempt once the connection has the last byte.
+        sent_attempts: AttemptCounter,
     },
 }
 
 impl AttemptBody {
     /// Streams an upload from its first byte.
-    pub fn streamed(upload: Arc<Upload>) -> Self {
-        AttemptBody::Streamed { upload, prefix_sent: false, stall_timer: None }
+    pub fn streamed(upload: Arc<Upload>, sent_attempts: AttemptCounter) -> Self {
+        AttemptBody::Streamed { upload, prefix_sent: false, stall_timer: None, sent_attempts }
     }
 }
 
@@ -238,7 +252,7 @@
     fn poll_frame(self: Pin<&mut Self>, cx: &mut Context) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match self.get_mut() {
             AttemptBody::Buffered(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            AttemptBody::Streamed { upload, prefix_sent, stall_timer } => {
+            AttemptBody::Streamed { upload, prefix_sent, stall_timer, sent_attempts } => {
                 let mut state = upload.lock();
                 if !std::mem::replace(prefix_sent, true) && !state.prefix.is_empty() {
                     return Poll::Ready(Some(Ok(Frame::data(state.prefix.clone()))));
@@ -257,11 +271,17 @@
                 *stall_timer = None;
                 upload.consumed.store(true, Ordering::Relaxed);
                 (state.prefix, state.reservation) = (Bytes::new(), None);
-                let failed = matches!(frame, Some(Err(_)));
-                if frame.is_none() || !failed && state.rest.is_end_stream() {
-                    upload.complete();
+                let data = match frame {
+                    Some(Err(error)) => return Poll::Ready(Some(Err(io::Error::other(error)))),
+                    // Trailers end a body as well. They are not forwarded: they belong to one hop.
+                    Some(Ok(frame)) => frame.into_data().ok(),
+                    None => None,
+                };
+                let is_last = data.is_none() || state.rest.is_end_stream();
+                if is_last && upload.complete() {
+                    sent_attempts.increment();
                 }
-                Poll::Ready(frame.map(|frame| frame.map_err(io::Error::other)))
+                Poll::Ready(data.map(|data| Ok(Frame::data(data))))
             }
         }
     }
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -21,6 +21,7 @@
 use tokio::task::{yield_now, AbortHandle};
 use tokio::time::{sleep_until, timeout, timeout_at, Duration, Instant};
 use tokio_util::sync::CancellationToken;
+use tracing::debug;
 
 use crate::body::{buffer_body, AttemptBody, BufferBudget, BufferedBody, OnTimeout, Upload};
 use crate::capacity::Slots;
@@ -194,18 +195,18 @@
         &self, mut connection: Connection, response_timeout: Nanos,
     ) -> Result<AttemptOutcome, Connection> {
         let upload = self.request.upload();
-        let request = self.request.build(self.server.address, Duration::from_nanos(response_timeout));
+        let request = self.request.build(
+            self.server.address,
+            Duration::from_nanos(response_timeout),
+            &self.sent_attempts,
+        );
         let sent = connection.sender.try_send_request(request);
-        // A request that turns out to be unsent is counted one too many until it is decremented below, and is then sent
-        // on another connection at once.
+        // A streamed request is counted by its body. A buffered one that turns out to be unsent is counted one too many
+        // until it is decremented below, and is then sent on another connection at once.
         if upload.is_none() {
             self.sent_attempts.increment();
         }
-        let sent = sent.await;
-        if upload.is_some_and(|upload| upload.completed_at().is_some()) {
-            self.sent_attempts.increment();
-        }
-        match sent {
+        match sent.await {
             Ok(response) => Ok(self.receive(connection, response).await),
             Err(mut error) => match error.take_message() {
                 Some(_unsent) => {
@@ -214,18 +215,31 @@
                     }
                     Err(connection)
                 }
-                // No server starts on a request before its last byte; a client that stopped sending is not the server's
-                // fault.
-                None => Ok(match upload {
-                    Some(upload) if upload.is_stalled() => Status::NotSent,
-                    Some(upload) if upload.completed_at().is_none() => Status::ConnectFailed,
-                    _ => Status::Reset,
+                None => {
+                    let status = self.status_without_response();
+                    debug!(
+                        txn = self.request.transaction_id(),
+                        server = %self.server.address,
+                        ?status,
+                        error = %error.error(),
+                        "connection ended before the response"
+                    );
+                    Ok(status.into())
                 }
-                .into()),
             },
         }
     }
 
+    /// The outcome of a request that was at least partly written and got no response. No server starts on a request
+    /// before its last byte; a client that stopped sending is not the server's fault.
+    fn status_without_response(&self) -> Status {
+        match self.request.upload() {
+            Some(upload) if upload.is_stalled() => Status::NotSent,
+            Some(upload) if upload.completed_at().is_none() => Status::ConnectFailed,
+            _ => Status::Reset,
+        }
+    }
+
     /// Reads the response and determines the outcome of the attempt.
     async fn receive(&self, connection: Connection, response: Response<Incoming>) -> AttemptOutcome {
         let (mut head, mut body) = response.into_parts();
--- a/crates/node/src/upstream/request.rs
+++ b/crates/node/src/upstream/request.rs
@@ -70,13 +70,16 @@
         }
     }
 
-    /// Builds the request for one attempt; `timeout` is sent as the remaining time.
-    pub(super) fn build(&self, address: SocketAddr, timeout: Duration) -> Request<AttemptBody> {
+    /// Builds the request for one attempt; `timeout` is sent as the remaining time. A streamed body increments
+    /// `sent_attempts` with its last byte.
+    pub(super) fn build(
+        &self, address: SocketAddr, timeout: Duration, sent_attempts: &AttemptCounter,
+    ) -> Request<AttemptBody> {
         let mut request = Request::new(match &self.body {
             RequestBody::Buffered(body) => {
                 AttemptBody::Buffered(Some(body.bytes.clone()).filter(|body| !body.is_empty()))
             }
-            RequestBody::Streamed(upload) => AttemptBody::streamed(upload.clone()),
+            RequestBody::Streamed(upload) => AttemptBody::streamed(upload.clone(), sent_attempts.clone()),
         });
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
@@ -88,6 +91,10 @@
                 HeaderValue::try_from(address.to_string()).expect("a socket address is a valid header value"),
             );
         }
+        if self.upload().is_some_and(|upload| upload.length().is_none()) {
+            // Without it hyper sends a GET request of unknown length as if it had no body, and never polls the body.
+            headers.insert(header::TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
+        }
         headers.insert(REMAINING_MS, (timeout.as_millis() as u64).into());
         request
     }
