End a stopped node with its last exchange, not with the longest deadline

Long requests that were still coming were cut as well.

Cause: Lifecycle::serving_state derived exit_at from the longest deadline, and Front::serve returned then, whatever connections were open. A deadline bounds the time to an answer's first bytes; it does not bound an exchange that has begun, in either direction.

Change: the process ends once its last connection has ended, and each connection has limits of its own. Those it always had: 15 s in which nothing moves, 2.25 s for a head. Once all answers have begun, connections that only wait for their client's close are not waited for, so a node without long exchanges ends as soon as before. exit_by stays as the last limit, after those of all connections.

Excluded: SIGKILL (the process ended by itself), the peers (they moved), the driver (it runs until the front returns).

Uses of the longest deadline, each read: answer_by (sound: it bounds requests that are still to come, so that a kill finds none of them unanswered), waiting for slots in the accept queue (sound: who waits there is past its deadline), the stall limit of a connection (sound: twice the deadline, 15 s at least), exit_at (this fault). A second SIGTERM changes nothing, as before (overlapping_signals_leave_accepted_requests_their_response).

The new event in the search of deadlines also turned up an old flaw: a write that began to wait long after the last byte had less than its 15 s.

Log: draining client connections (open), client connection closed by a timeout while the node stops (reason), cut_by_drain in the line on clients.

--- a/crates/node/src/connection_timeouts.rs
+++ b/crates/node/src/connection_timeouts.rs
@@ -11,14 +11,29 @@
 /// Lower bound of the longest time without a byte in either direction while a request or response is in progress,
 /// whichever side causes it.
 const MIN_STALL_TIMEOUT: Nanos = 15_000_000_000;
+/// Time that an exchange may take from the start of a drain, beside the time for its bytes.
+const DRAIN_ALLOWANCE: Nanos = 30_000_000_000;
+/// Slowest rate at which peers send or read long bodies.
+const SLOWEST_BYTES_PER_SECOND: u64 = 64_000;
+/// Longest body for whose bytes a drain waits.
+const LONGEST_BODY_BYTES: u64 = 32 << 20;
+/// Longest time that a connection stays open from the start of a drain.
+pub const MAX_DRAIN_TIME: Nanos = drain_time(LONGEST_BODY_BYTES);
+
+/// Time within which `bytes` have to be transferred from the start of a drain.
+const fn drain_time(bytes: u64) -> Nanos {
+    DRAIN_ALLOWANCE + bytes * 1_000_000_000 / SLOWEST_BYTES_PER_SECOND
+}
 
 /// Why a timeout closes a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum CloseReason {
     /// No complete request head arrived in time.
     NoRequest,
     /// No byte was transferred for too long in the middle of a message.
     Stalled,
+    /// The node drains, and the exchange is too slow or too long to wait for its end.
+    DrainLimit,
 }
 
 /// The state of one connection; times are nanoseconds since it was accepted.
@@ -29,9 +44,11 @@
     request_active: AtomicBool,   // a request is in progress
     write_blocked: AtomicBool,    // the client accepts no more bytes for now
     had_request: AtomicBool,      // at least one request head has arrived
-    last_byte_at: AtomicU64,      // time of the last byte in either direction
+    last_byte_at: AtomicU64,      // last byte in either direction, or when a write began to wait
     response_ended_at: AtomicU64, // end of the last response
     head_started_at: AtomicU64,   // first byte after the last request; 0: none yet
+    drain_started_at: AtomicU64,  // 0: the node does not drain
+    drained_bytes: AtomicU64,     // transferred in either direction since the start of the drain
 }
 
 impl ConnectionTimeouts {
@@ -47,6 +64,25 @@
             last_byte_at: AtomicU64::new(0),
             response_ended_at: AtomicU64::new(0),
             head_started_at: AtomicU64::new(0),
+            drain_started_at: AtomicU64::new(0),
+            drained_bytes: AtomicU64::new(0),
+        }
+    }
+
+    /// Records that the node drains: the connection has to end, however long its peers keep it in use.
+    pub fn drain_started(&self, now: Nanos) {
+        self.drain_started_at.store(now.max(1), Ordering::Relaxed);
+    }
+
+    /// Returns whether the node drains.
+    pub fn is_draining(&self) -> bool {
+        self.drain_started_at.load(Ordering::Relaxed) > 0
+    }
+
+    /// Records the number of bytes of a read or a write. A drain waits longer for exchanges that transfer more.
+    pub fn bytes_transferred(&self, count: usize) {
+        if self.is_draining() {
+            self.drained_bytes.fetch_add(count as u64, Ordering::Relaxed);
         }
     }
 
@@ -61,7 +97,7 @@
     /// Records a write; `accepted` is false if it would have blocked.
     pub fn write_attempted(&self, now: Nanos, accepted: bool) {
         let was_blocked = self.write_blocked.swap(!accepted, Ordering::Relaxed);
-        if accepted {
+        if accepted || !was_blocked {
             self.last_byte_at.store(now, Ordering::Relaxed);
         }
         if accepted && was_blocked {
@@ -93,6 +129,17 @@
 
     /// Returns when to close the connection if nothing more happens, and why.
     pub fn deadline(&self) -> (Nanos, CloseReason) {
+        let deadline = self.exchange_deadline();
+        if !self.is_draining() {
+            return deadline;
+        }
+        let drained_bytes = self.drained_bytes.load(Ordering::Relaxed).min(LONGEST_BODY_BYTES);
+        let drain_limit = self.drain_started_at.load(Ordering::Relaxed) + drain_time(drained_bytes);
+        deadline.min((drain_limit, CloseReason::DrainLimit))
+    }
+
+    /// The deadline that holds whether or not the node drains.
+    fn exchange_deadline(&self) -> (Nanos, CloseReason) {
         let load = |at: &AtomicU64| at.load(Ordering::Relaxed);
         let (last_byte_at, response_ended_at, head_started_at) =
             (load(&self.last_byte_at), load(&self.response_ended_at), load(&self.head_started_at));
--- a/crates/node/src/front/accept.rs
+++ b/crates/node/src/front/accept.rs
@@ -41,7 +41,9 @@
         let _ = stream.set_nodelay(true);
         let (front, stream, close_requested) = (self.clone(), Arc::new(stream), close_requested.clone());
         tokio::spawn(async move {
+            let served = ServedConnection::new(&front);
             front.serve_connection(SharedStream(stream.clone()), Some(stream.clone()), close_requested).await;
+            drop(served);
             let _ = SockRef::from(&*stream).shutdown(Shutdown::Write); // an error means that it has already ended
             let linger = if front.capacity.clients.free() == 0 { LINGER_WHEN_FULL } else { LINGER };
             let _ = timeout(linger, read_until_closed(&stream)).await;
@@ -75,6 +77,22 @@
     }
 }
 
+/// Counts a connection as served until it is dropped.
+struct ServedConnection<'a>(&'a AtomicUsize);
+
+impl<'a> ServedConnection<'a> {
+    fn new(front: &'a Front) -> Self {
+        front.served_connections.fetch_add(1, Ordering::Relaxed);
+        ServedConnection(&front.served_connections)
+    }
+}
+
+impl Drop for ServedConnection<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Reads and discards what the client still sends, until it closes the connection.
 async fn read_until_closed(stream: &TcpStream) {
     let mut buffer = [0; 4096];
--- a/crates/node/src/front/connection.rs
+++ b/crates/node/src/front/connection.rs
@@ -26,13 +26,18 @@
         ));
         let accepted_at = Instant::now();
         let now = move || accepted_at.elapsed().as_nanos() as Nanos;
+        let mut drain = close_requested.clone();
         let timed_out = async {
             loop {
                 let (at, reason) = timeouts.deadline();
-                match at.checked_sub(now()) {
-                    None | Some(0) => return reason,
-                    Some(time_left) => {
-                        sleep(Duration::from_nanos(time_left.min(timeouts.poll_interval()))).await
+                let time_left = at.saturating_sub(now());
+                if time_left == 0 {
+                    return reason;
+                }
+                tokio::select! {
+                    () = sleep(Duration::from_nanos(time_left.min(timeouts.poll_interval()))) => {}
+                    _ = drain.wait_for(|started| *started), if !timeouts.is_draining() => {
+                        timeouts.drain_started(now());
                     }
                 }
             }
@@ -91,7 +96,11 @@
         increment(match reason {
             CloseReason::NoRequest => &self.stats.silent,
             CloseReason::Stalled => &self.stats.stalled,
+            CloseReason::DrainLimit => &self.stats.cut_by_drain,
         });
+        if self.posture.borrow().stop.is_some() {
+            info!(?reason, "client connection closed by a timeout while the node stops");
+        }
     }
 
     /// Counts a connection that ends because of an invalid or incomplete message; other errors are reported to the
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -6,7 +6,7 @@
 use std::io::ErrorKind::{ConnectionAborted, Interrupted, WouldBlock};
 use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -81,6 +81,7 @@
     next_id: AtomicU64,
     stalls: StallDetector,
     stats: ConnectionStats,
+    served_connections: AtomicUsize, // connections that have not ended, without those that only wait for the close
 }
 
 impl Front {
@@ -101,6 +102,7 @@
             next_id: AtomicU64::new(0),
             stalls: StallDetector::new(clock.now()),
             stats: ConnectionStats::default(),
+            served_connections: AtomicUsize::new(0),
         }
     }
 
@@ -109,8 +111,7 @@
         self.accepts_new_tenants = true;
     }
 
-    /// Accepts connections as long as the posture allows it, and returns when all connections have ended or the node's
-    /// end is reached.
+    /// Accepts connections as long as the posture allows it, and returns when the last exchange has ended.
     pub async fn serve(self: Arc<Self>, listener: ClientListener) {
         let (close, close_requested) = watch::channel(false);
         let front = self.clone();
@@ -146,30 +147,47 @@
                     () = accept => {}
                     _ = posture.wait_for(|posture| !posture.accepts_connections) => {}
                 }
-                // After the end of the node no client gets a response, so waiting for slots ends then.
-                let ends_at = self.posture.borrow().exit_at.unwrap_or(self.clock.now());
-                let drained =
-                    timeout_at(self.clock.instant(ends_at), self.drain_backlog(listener, &close_requested))
-                        .await;
+                // A client that still waits for a slot when all answers have begun is past its deadline.
+                let waits_until = self.clock.instant(self.answers_begun_by());
+                let drained = timeout_at(waits_until, self.drain_backlog(listener, &close_requested)).await;
                 if drained.is_err() {
-                    warn!("shutdown deadline reached with clients still waiting to be accepted");
+                    warn!("clients still waiting to be accepted at the longest deadline after the stop");
                 }
             }
             Err(error) => return warn!(%error, "failed to listen for clients"),
         }
         sleep(SETTLE_INTERVAL).await;
         close.send_replace(true);
-        let ends_at = self.posture.borrow().exit_at.unwrap_or(self.clock.now());
-        let all_closed = async {
-            while self.capacity.clients.in_use() > 0 {
+        self.drain_connections().await;
+    }
+
+    /// Returns once the last exchange has ended. Each connection ends by its own limits, so an answer that is still
+    /// being sent is not cut.
+    async fn drain_connections(&self) {
+        let open = self.served_connections.load(Ordering::Relaxed);
+        info!(open, "draining client connections");
+        let answers_begun_by = self.answers_begun_by();
+        let all_ended = async {
+            // Once all answers have begun, connections that only wait for the client to close are not waited for.
+            while self.capacity.clients.in_use() > 0
+                && (self.clock.now() < answers_begun_by
+                    || self.served_connections.load(Ordering::Relaxed) > 0)
+            {
                 sleep(SETTLE_INTERVAL).await;
             }
         };
-        if timeout_at(self.clock.instant(ends_at), all_closed).await.is_err() {
-            warn!("shutdown deadline reached with client connections still open");
+        let exit_by = self.posture.borrow().stop.map_or(answers_begun_by, |stop| stop.exit_by);
+        if timeout_at(self.clock.instant(exit_by), all_ended).await.is_err() {
+            let open = self.served_connections.load(Ordering::Relaxed);
+            warn!(open, "client connections still open at the last limit of the stop; closing them");
         }
     }
 
+    /// When every request accepted before the stop has at least begun to be answered.
+    fn answers_begun_by(&self) -> Nanos {
+        self.posture.borrow().stop.map_or(self.clock.now(), |stop| stop.answers_begun_by)
+    }
+
     /// Responds to a request; errors become responses that close the connection. `first_request_since` is when the
     /// connection was accepted, if this is its first request.
     async fn handle_request(
@@ -241,7 +259,7 @@
         let deadline = self.deadlines[class];
         let client_deadline = arrived + remaining.unwrap_or(deadline).min(deadline);
         let client_deadline =
-            self.posture.borrow().answer_by.map_or(client_deadline, |by| client_deadline.min(by));
+            self.posture.borrow().stop.map_or(client_deadline, |stop| client_deadline.min(stop.answer_by));
         let body = match prefix {
             complete @ BodyPrefix { is_complete: true, .. } => RequestBody::Buffered(complete.into()),
             incomplete => RequestBody::Streamed(Arc::new(Upload::new(incomplete, body, self.clock))),
--- a/crates/node/src/front/stats.rs
+++ b/crates/node/src/front/stats.rs
@@ -10,6 +10,7 @@
     pub(super) malformed: AtomicU64, // closed because of an invalid or incomplete message
     pub(super) rejected: AtomicU64, // closed after an invalid request that was answered with an error
     pub(super) stalled: AtomicU64, // closed because no byte was transferred for too long within a message
+    pub(super) cut_by_drain: AtomicU64, // closed in the middle of a message by the limit of a drain
     pub(super) full: AtomicU64,   // times that all slots were in use when a client was to be accepted
 }
 
@@ -21,8 +22,9 @@
         let accepted = take(&self.accepted);
         let (silent, malformed) = (take(&self.silent), take(&self.malformed));
         let (rejected, still, full) = (take(&self.rejected), take(&self.stalled), take(&self.full));
-        if silent + malformed + rejected + still + full > 0 {
-            info!(held, most, accepted, silent, malformed, rejected, still, full, "clients");
+        let cut_by_drain = take(&self.cut_by_drain);
+        if silent + malformed + rejected + still + cut_by_drain + full > 0 {
+            info!(held, most, accepted, silent, malformed, rejected, still, cut_by_drain, full, "clients");
         }
     }
 }
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -3,6 +3,8 @@
 
 use merlinfold_decide::interface::Nanos;
 
+use crate::connection_timeouts::MAX_DRAIN_TIME;
+
 /// How long after a stop new connections are accepted, for clients that still open some then.
 const ACCEPT_AFTER_STOP: Nanos = 550_000_000;
 /// How long a predecessor may take to free capacity. Its requests end within less, and the platform waits 6 s for a
@@ -11,8 +13,8 @@
 /// How long to wait for an agent to push the first list. What the agent has counts as announced from the first moment
 /// of a process. An agent that is down announces nothing, and readiness does not wait for it.
 const MAX_FIRST_LIST_WAIT: Nanos = 1_000_000_000;
-/// Time after the longest deadline from a stop by which all answers have been sent.
-const EXIT_MARGIN: Nanos = 500_000_000;
+/// Time after the longest deadline from a stop by which all answers have begun. A long answer ends later.
+const ANSWER_MARGIN: Nanos = 500_000_000;
 /// The longest request deadline that the platform waits for before it kills the process. Requests that come after a
 /// stop get no longer deadline, because a kill loses those that are unanswered.
 const MAX_DEADLINE_AFTER_STOP: Nanos = 3_000_000_000;
@@ -55,10 +57,21 @@
     pub list_settled: bool,
     /// Whether new connections are accepted.
     pub accepts_connections: bool,
-    /// When the process ends, whether or not all requests are answered; none while it is not stopping.
-    pub exit_at: Option<Nanos>,
-    /// By when requests that come from now on have to be answered; none while the node is not stopping.
-    pub answer_by: Option<Nanos>,
+    /// The time limits of a stop; none while the node is not stopping.
+    pub stop: Option<StopLimits>,
+}
+
+/// Time limits of a stop. The process ends once its last exchange has ended, which no deadline of a request bounds:
+/// each connection has limits of its own, see [`ConnectionTimeouts`](crate::connection_timeouts::ConnectionTimeouts).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopLimits {
+    /// By when requests that come from now on have to be answered.
+    pub answer_by: Nanos,
+    /// When every accepted request has been answered, refused or at least begun to be answered. Clients that were not
+    /// accepted by then are past their deadline.
+    pub answers_begun_by: Nanos,
+    /// When the process ends in any case: after the limits of all connections.
+    pub exit_by: Nanos,
 }
 
 /// The lifecycle of one node.
@@ -153,17 +166,12 @@
 
     /// The serving state as of the last command or tick.
     pub fn serving_state(&self) -> ServingState {
-        let stopping = match self.state {
-            State::Stopping { since } => Some(since),
-            _ => None,
+        let (ready, stop) = match self.state {
+            State::Active => (true, None),
+            State::Standby { .. } => (false, None),
+            // A stopping node stays ready: the platform removes it by itself and the node serves what comes until then.
+            State::Stopping { since } => (true, Some(self.stop_limits(since))),
         };
-        let exit_at = stopping.map(|since| since + self.longest_deadline + EXIT_MARGIN);
-        let answer_by = stopping.map(|since| {
-            let deadline = self.longest_deadline.min(MAX_DEADLINE_AFTER_STOP);
-            since + deadline + EXIT_MARGIN - LAST_ANSWER_TRANSIT
-        });
-        // A stopping node stays ready: the platform removes it by itself and the node serves what comes until then.
-        let ready = !matches!(self.state, State::Standby { .. });
         ServingState {
             ready,
             keep_alive: self.state == State::Active,
@@ -171,8 +179,17 @@
             may_listen: self.listen_by.is_none(),
             list_settled: self.list_by.is_none(),
             accepts_connections: self.accepts_connections,
-            exit_at,
-            answer_by,
+            stop,
+        }
+    }
+
+    fn stop_limits(&self, since: Nanos) -> StopLimits {
+        let awaited_deadline = self.longest_deadline.min(MAX_DEADLINE_AFTER_STOP);
+        let answers_begun_by = since + self.longest_deadline + ANSWER_MARGIN;
+        StopLimits {
+            answer_by: since + awaited_deadline + ANSWER_MARGIN - LAST_ANSWER_TRANSIT,
+            answers_begun_by,
+            exit_by: answers_begun_by + MAX_DRAIN_TIME,
         }
     }
 
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -99,6 +99,9 @@
 
     fn record_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         self.timeouts.write_attempted(self.now(), written.is_ready());
+        if let Poll::Ready(Ok(count)) = written {
+            self.timeouts.bytes_transferred(count);
+        }
         written
     }
 }
@@ -107,8 +110,10 @@
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buffer: &mut ReadBuf) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
-        if buffer.filled().len() > before {
+        let count = buffer.filled().len() - before;
+        if count > 0 {
             self.timeouts.bytes_received(self.now());
+            self.timeouts.bytes_transferred(count);
         }
         read
     }
--- a/crates/node/tests/unit/lifecycle.rs
+++ b/crates/node/tests/unit/lifecycle.rs
@@ -50,9 +50,9 @@
                 Command::Active => standby_since = None,
             }
             if stopped.is_some() {
-                prop_assert!(!after.keep_alive && after.exit_at.is_some());
+                prop_assert!(!after.keep_alive && after.stop.is_some());
             } else if standby_since.is_none() {
-                prop_assert!(after.ready && after.keep_alive && after.accepts_connections && after.exit_at.is_none());
+                prop_assert!(after.ready && after.keep_alive && after.accepts_connections && after.stop.is_none());
                 prop_assert_eq!(lifecycle.next_change(), Some(MAX_PREDECESSOR_WAIT).filter(|_| !after.may_listen));
             }
         }
@@ -64,3 +64,17 @@
         }
     }
 }
+
+/// Guards long exchanges against a planned restart: what has a deadline is answered before the platform may kill, and
+/// the process leaves every connection the whole time that it may take.
+#[test]
+fn a_stop_leaves_exchanges_more_time_than_any_deadline() {
+    const KILL_MARGIN: Nanos = 700_000_000; // after the longest deadline, counted as 3 s at most
+    for longest_deadline in [0, 20_000_000, 750_000_000, 3_000_000_000, 60_000_000_000] {
+        let (mut lifecycle, stopped_at) = (Lifecycle::new(longest_deadline), 5_000_000_000);
+        lifecycle.apply(stopped_at, Command::Terminate);
+        let stop = lifecycle.serving_state().stop.expect("the limits of a stop");
+        assert!(stop.answer_by < stopped_at + longest_deadline.min(3_000_000_000) + KILL_MARGIN);
+        assert!(stop.exit_by >= stop.answers_begun_by + MAX_DRAIN_TIME);
+    }
+}
