Keep a drained node unready when it is stopped

A front that had sent clients elsewhere could send them back to a node that is about to end.

Cause: Lifecycle::serving_state took every state but Standby for ready. That a stopping node stays ready is meant for one that was active: the platform removes it by itself. A drained one has been removed already.

Change: a stop keeps the readiness that the node had.

Evidence: a_drained_node_stays_unready_when_it_is_stopped draws the orders of commands that lead there; on the code before, Standby and Terminate ended ready. Sound beside it: Active after a stop is refused, a second Terminate changes nothing.

--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -39,7 +39,7 @@
 enum State {
     Active,
     Standby { since: Nanos },
-    Stopping { since: Nanos },
+    Stopping { since: Nanos, ready: bool },
 }
 
 /// How the front treats clients.
@@ -132,7 +132,10 @@
             (State::Stopping { .. }, Command::Active) => return false,
             (State::Stopping { .. }, _) | (State::Standby { .. }, Command::Standby) => {}
             (_, Command::Terminate) => {
-                (self.state, self.next_idle_close) = (State::Stopping { since: now }, None);
+                // An active node stays ready: the platform removes it by itself and the node serves what comes until
+                // then. A drained node has been removed already.
+                let ready = self.state == State::Active;
+                (self.state, self.next_idle_close) = (State::Stopping { since: now, ready }, None);
             }
             (_, Command::Standby) => {
                 self.state = State::Standby { since: now };
@@ -150,7 +153,7 @@
         if self.next_idle_close.is_some_and(|at| at <= now) {
             (self.next_idle_close, self.idle_closes) = (None, self.idle_closes + 1);
         }
-        if let State::Stopping { since } = self.state {
+        if let State::Stopping { since, .. } = self.state {
             self.accepts_connections &= now < since + ACCEPT_AFTER_STOP;
         }
     }
@@ -158,7 +161,7 @@
     /// When [`Lifecycle::tick`] next changes the serving state.
     pub fn next_change(&self) -> Option<Nanos> {
         let of_state = match self.state {
-            State::Stopping { since } if self.accepts_connections => Some(since + ACCEPT_AFTER_STOP),
+            State::Stopping { since, .. } if self.accepts_connections => Some(since + ACCEPT_AFTER_STOP),
             _ => self.next_idle_close,
         };
         [of_state, self.listen_by, self.list_by].into_iter().flatten().min()
@@ -169,8 +172,7 @@
         let (ready, stop) = match self.state {
             State::Active => (true, None),
             State::Standby { .. } => (false, None),
-            // A stopping node stays ready: the platform removes it by itself and the node serves what comes until then.
-            State::Stopping { since } => (true, Some(self.stop_limits(since))),
+            State::Stopping { since, ready } => (ready, Some(self.stop_limits(since))),
         };
         ServingState {
             ready,
--- a/crates/node/tests/unit/lifecycle.rs
+++ b/crates/node/tests/unit/lifecycle.rs
@@ -65,6 +65,23 @@
     }
 }
 
+/// Guards clients of a drained node: a front that has been told to go elsewhere must not be told to come back by a stop.
+#[test]
+fn a_drained_node_stays_unready_when_it_is_stopped() {
+    for (commands, ready) in [
+        (vec![Command::Terminate], true),
+        (vec![Command::Standby, Command::Terminate], false),
+        (vec![Command::Standby, Command::Active, Command::Terminate], true),
+        (vec![Command::Standby, Command::Terminate, Command::Terminate, Command::Active], false),
+    ] {
+        let mut lifecycle = Lifecycle::new(750_000_000);
+        for (index, command) in commands.iter().enumerate() {
+            lifecycle.apply(index as Nanos * 10_000_000, *command);
+        }
+        assert_eq!(lifecycle.serving_state().ready, ready, "after {commands:?}");
+    }
+}
+
 /// Guards long exchanges against a planned restart: what has a deadline is answered before the platform may kill, and
 /// the process leaves every connection the whole time that it may take.
 #[test]
