Count a connection as idle after a long request

Callers saw: a client's connection that had carried a long request rested open for 2.25 s after a stop, where others are closed after 0.57 s, so requests could still come on it in the last moment of the process.

Cause: the front recorded "request read" when the upload began. The bytes of the upload that came later counted as the head of a next request, so the resting connection counted as one with half a request.

Change: the record is made with the last byte of the body, streamed or not.

Evidence: a_connection_that_carried_a_long_request_is_idle_afterwards fails on the landed code: the connection is still open 1 s after an idle one was closed.

--- a/crates/cli/tests/stop.rs
+++ b/crates/cli/tests/stop.rs
@@ -152,3 +152,25 @@
     assert!(stopped.elapsed() < Duration::from_millis(3_700), "the node ended after {:?}", stopped.elapsed());
     drop(clients);
 }
+
+/// Guards stops against resting connections: one that has carried a long request is closed like any other, and does not
+/// count as one on which half a request has arrived.
+#[test]
+fn a_connection_that_carried_a_long_request_is_idle_afterwards() {
+    let server = Server::start(|_| Reply::Write(response(200, "", "pong")));
+    let mut node = RunningNode::in_front_of(&[("s", server.address)]);
+    let body = "x".repeat(HALF);
+    let mut stream = connect(&node);
+    stream.write_all(request("pay", "", &body).as_bytes()).unwrap();
+    let answer = Client::on(stream.try_clone().unwrap()).read().expect("a response");
+    assert_eq!(answer.status(), 200);
+    let mut idle = node.client();
+    assert_eq!(idle.request("read").status(), 200);
+    node.stop();
+    assert!(idle.read().is_none(), "an idle connection is closed");
+    // Half a request would keep it open for 2 s and more.
+    stream.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+    assert_eq!(stream.read(&mut [0]).expect("the connection is closed beside the idle one"), 0);
+    drop((idle, stream));
+    node.join();
+}
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -253,7 +253,9 @@
                 BodyError::TimedOut => StatusCode::REQUEST_TIMEOUT,
                 BodyError::Broken => StatusCode::BAD_REQUEST,
             })?;
-        timeouts.request_read();
+        if prefix.is_complete {
+            timeouts.request_read();
+        }
         // The time of a request counts from its last byte; for a streamed request the last byte is still to come.
         let arrived = if has_no_body { arrived } else { self.stalls.arrival(self.clock.now()) };
         let deadline = self.deadlines[class];
@@ -287,8 +289,16 @@
             answered: false,
         };
         let _ = self.inputs.send(Input::Request(client_request));
+        let upload_read = async {
+            if let Some(upload) = upstream_request.upload() {
+                upload.wait_until_complete().await;
+                timeouts.request_read();
+            }
+            pending().await
+        };
         let reply = tokio::select! {
             biased;
+            never = upload_read => never,
             reply = reply => reply.unwrap_or(Reply::Failed),
             // Any status will do: no client is left to read it.
             () = active_request.wait_for_disconnect() => return Err(StatusCode::BAD_REQUEST),
