End an attempt whose server stops taking a long request

The attempt kept its connection, also after its caller had left, so such servers used up the connections of a node.

Cause: Attempt::exchange began to count time with the last byte that was handed over. Nothing bounded the time before it.

Change: Upload records when a connection last took bytes and whether the next step is the client's. Where it is the server's for as long as the request has for its answer, the attempt ends as "could not connect": the last byte was not handed over, so it never ran, and the caller gets 503 in time. The connection is reset, because a close behind unread bytes does not reach the server. The kernel holds at most 64 KiB of a long request unsent, so that a server that reads slowly is told from one that hangs. A request that has been handed over meanwhile counts as may have run.

--- a/crates/cli/tests/bodies.rs
+++ b/crates/cli/tests/bodies.rs
@@ -6,6 +6,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc;
 use std::thread;
+use std::time::{Duration, Instant};
 
 use common::*;
 use serde_json::json;
@@ -169,7 +170,7 @@
     }
     // The server can write only as much as the kernel buffers of three connections take.
     let mut taken = 0;
-    while let Ok(bytes) = accepted.recv_timeout(std::time::Duration::from_millis(500)) {
+    while let Ok(bytes) = accepted.recv_timeout(Duration::from_millis(500)) {
         taken += bytes;
     }
     assert!(taken < 64 << 20, "{taken} bytes accepted for a client that reads nothing");
@@ -276,6 +277,108 @@
     assert_eq!(node.metric("upstream_requests"), 18, "attempts whose last byte was written");
 }
 
+/// Waits until the other side has closed this connection, as the kernel tells it beside bytes that are not read.
+fn wait_for_close(stream: &TcpStream) {
+    const CLOSE_WAIT: &str = "08";
+    let end = |address: SocketAddr| format!(":{:04X}", address.port());
+    let (own, other) = (end(stream.local_addr().unwrap()), end(stream.peer_addr().unwrap()));
+    let begun = Instant::now();
+    while begun.elapsed() < TIMEOUT {
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let state = table.lines().find_map(|line| {
+            let mut columns = line.split_whitespace().skip(1);
+            let is_this = columns.next()?.ends_with(&own) && columns.next()?.ends_with(&other);
+            columns.next().filter(|_| is_this)
+        });
+        if state.is_none_or(|state| state == CLOSE_WAIT) {
+            return;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    panic!("the connection is still open");
+}
+
+/// Guards callers and connections against a server that hangs while it takes a long request: no time ran before the last
+/// byte was handed over, so the caller got no answer and the attempt kept its connection, also after its caller had left.
+#[test]
+fn a_server_that_stops_reading_a_long_request_ends_the_attempt_in_time() {
+    const FAR_BEYOND_BUFFERS: usize = 48 << 20;
+    let (closed, closes) = mpsc::sync_channel::<()>(10);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let node = node_in_front_of(listener.local_addr().unwrap());
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, closed) = (stream.unwrap(), closed.clone());
+            thread::spawn(move || {
+                if read_head(&mut stream).contains("part") {
+                    stream.read_exact(&mut vec![0; LONG]).unwrap();
+                }
+                wait_for_close(&stream);
+                closed.send(()).unwrap();
+            });
+        }
+    });
+    let told = format!("Content-Length: {FAR_BEYOND_BUFFERS}\r\n");
+    let in_one_chunk = "Transfer-Encoding: chunked\r\n";
+    let cases = [
+        ("stays&none", told.as_str()),
+        ("stays&part", told.as_str()),
+        ("stays&part", in_one_chunk),
+        ("leaves&none", told.as_str()),
+    ];
+    for (what, framing) in cases {
+        let stream = TcpStream::connect(node.address).unwrap();
+        let mut body_sender = stream.try_clone().unwrap();
+        let head = get("pay").replace("GET /pay", &format!("POST /pay?{what}"));
+        body_sender
+            .write_all(head.replace("X-Txn", &format!("{framing}X-Remaining-Ms: 500\r\nX-Txn")).as_bytes())
+            .unwrap();
+        let start =
+            if framing == in_one_chunk { format!("{FAR_BEYOND_BUFFERS:x}\r\n") } else { String::new() };
+        let sending = thread::spawn(move || {
+            // Fails once the node has closed the connection.
+            let _ = body_sender.write_all(start.as_bytes());
+            let _ = body_sender.write_all(&pattern(FAR_BEYOND_BUFFERS));
+        });
+        if what.contains("leaves") {
+            node.wait_for("pending", 1);
+            stream.shutdown(Shutdown::Both).unwrap();
+        } else {
+            let answer = Client::on(stream.try_clone().unwrap()).read().expect("an answer");
+            assert_eq!(answer.status(), 503, "the server cannot have run it: {what}, {framing}");
+        }
+        closes.recv_timeout(TIMEOUT).unwrap_or_else(|_| panic!("the attempt goes on: {what}, {framing}"));
+        sending.join().unwrap();
+    }
+    node.wait_for("pending", 0);
+}
+
+/// Guards long requests against the limit on servers that stop reading: one that reads the first half slowly gets all of the
+/// request, although that takes many times the deadline, which counts from the last byte.
+#[test]
+fn a_server_that_reads_slowly_gets_the_whole_of_a_long_request() {
+    const PIECE: usize = 64 << 10;
+    const PAUSE: Duration = Duration::from_millis(40); // between pieces: 1.6 MB a second
+    let node = node_in_front_of(start_raw_server(|mut stream| {
+        read_head(&mut stream);
+        let mut taken = vec![0; 2 * LONG];
+        for piece in taken[..LONG].chunks_mut(PIECE) {
+            stream.read_exact(piece).unwrap();
+            thread::sleep(PAUSE);
+        }
+        stream.read_exact(&mut taken[LONG..]).unwrap();
+        assert!(taken == [pattern(LONG), pattern(LONG)].concat(), "another body arrived");
+        stream.write_all(response(200, "", "whole").as_bytes()).unwrap();
+    }));
+    let mut client = node.client();
+    let framing = format!("Content-Length: {}\r\nX-Remaining-Ms: 500\r\nX-Txn", 2 * LONG);
+    client.write(&get("pay").replace("GET", "POST").replace("X-Txn", &framing));
+    client.send(&pattern(LONG));
+    client.send(&pattern(LONG));
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, b"whole".as_slice()));
+}
+
 /// Conflicting lengths allow request smuggling, and a body that never ends would hold a slot.
 #[test]
 fn conflicting_lengths_and_stalled_bodies_are_refused() {
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -26,6 +26,8 @@
 const UNRESERVED_BODY_BYTES: usize = 8 << 10;
 /// Longest time without a byte of a streamed request body before the client counts as stalled.
 const UPLOAD_STALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for a connection to go on by itself after the node was held up, before its server counts as unresponsive.
+const RESUME_GRACE: Duration = Duration::from_millis(20);
 
 /// Memory that all buffered bodies may use together.
 #[derive(Clone)]
@@ -146,7 +148,9 @@
     length: Option<u64>,
     consumed: AtomicBool,
     stalled: AtomicBool,
-    completed_at: AtomicU64, // when the last byte was handed to a connection; 0: not yet
+    awaits_client: AtomicBool, // the connection has room, and the client owes the next bytes
+    taken_at: AtomicU64,       // when a connection last took bytes
+    completed_at: AtomicU64,   // when the last byte was handed to a connection; 0: not yet
     completion: Notify,
     clock: Clock,
 }
@@ -167,6 +171,8 @@
             length: length_hint,
             consumed: AtomicBool::new(false),
             stalled: AtomicBool::new(false),
+            awaits_client: AtomicBool::new(false),
+            taken_at: AtomicU64::new(0),
             completed_at: AtomicU64::new(0),
             completion: Notify::new(),
             clock,
@@ -209,6 +215,36 @@
         }
     }
 
+    /// Waits until the connection has taken nothing for `limit`, counted from `started` at the earliest, although the
+    /// client's next bytes are ready: its server does not read.
+    pub async fn wait_until_blocked(&self, started: Nanos, limit: Nanos) {
+        loop {
+            let now = self.clock.now();
+            let taken_at = self.taken_at.load(Ordering::Relaxed);
+            let waits_since = if self.awaits_server() { taken_at.max(started) } else { now };
+            let time_left = (waits_since + limit).saturating_sub(now);
+            if time_left > 0 {
+                sleep(Duration::from_nanos(time_left)).await;
+                continue;
+            }
+            sleep(RESUME_GRACE).await;
+            if self.awaits_server() && self.taken_at.load(Ordering::Relaxed) == taken_at {
+                return;
+            }
+        }
+    }
+
+    /// Returns whether the next step is the server's: it has to read before more can be sent.
+    fn awaits_server(&self) -> bool {
+        !self.awaits_client.load(Ordering::Relaxed) && self.completed_at().is_none()
+    }
+
+    /// Records that the connection has taken bytes.
+    fn taken(&self) {
+        self.awaits_client.store(false, Ordering::Relaxed);
+        self.taken_at.store(self.clock.now(), Ordering::Relaxed);
+    }
+
     /// Records that the connection has the last byte. It must come before the connection can write that byte, whatever
     /// frame ends the body: an upload without this record counts as never run. Returns whether it is the first record.
     fn complete(&self) -> bool {
@@ -255,11 +291,13 @@
             AttemptBody::Streamed { upload, prefix_sent, stall_timer, sent_attempts } => {
                 let mut state = upload.lock();
                 if !std::mem::replace(prefix_sent, true) && !state.prefix.is_empty() {
+                    upload.taken();
                     return Poll::Ready(Some(Ok(Frame::data(state.prefix.clone()))));
                 }
                 let frame = match Pin::new(&mut state.rest).poll_frame(cx) {
                     Poll::Ready(frame) => frame,
                     Poll::Pending => {
+                        upload.awaits_client.store(true, Ordering::Relaxed);
                         let stall_timer =
                             stall_timer.get_or_insert_with(|| Box::pin(sleep(UPLOAD_STALL_TIMEOUT)));
                         ready!(stall_timer.as_mut().poll(cx));
@@ -269,6 +307,7 @@
                     }
                 };
                 *stall_timer = None;
+                upload.taken();
                 upload.consumed.store(true, Ordering::Relaxed);
                 (state.prefix, state.reservation) = (Bytes::new(), None);
                 let data = match frame {
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -51,6 +51,10 @@
 /// The same for a response of known length: longer than any attempt, whose timeout ends it first.
 const KNOWN_LENGTH_BUFFERING: Duration = Duration::from_secs(86_400);
 
+/// Most bytes of a streamed request that the kernel holds unsent. A server that reads slowly then makes room often enough
+/// to be told from one that does not read.
+const MAX_UNSENT_BYTES: u32 = 64 << 10;
+
 /// A time that is never reached.
 pub const NEVER: Nanos = Nanos::MAX;
 
@@ -105,7 +109,7 @@
     pub server: Arc<Server>,
     pub request: Arc<UpstreamRequest>,
     /// Time to wait for the response from when the request is handed to a connection, or from the last byte of a
-    /// streamed request. The time to connect is not counted as a slow response of the server.
+    /// streamed request; before that byte, longest time for which the server may take nothing of it. The time to connect is not counted as a slow response of the server.
     pub response_timeout: Nanos,
     /// When to give up in any case. For a streamed request the time until then counts from its last byte.
     pub deadline: Nanos,
@@ -175,9 +179,23 @@
             let response_deadline = async {
                 sleep_until(self.clock.instant(upload.wait_until_complete().await + response_timeout)).await
             };
+            let stream = connection.stream.clone();
+            limit_unsent_bytes(&stream);
             let outcome = tokio::select! {
                 outcome = self.send(connection, response_timeout) => outcome?,
                 () = response_deadline => Status::Timeout.into(),
+                () = upload.wait_until_blocked(now, response_timeout) => {
+                    // hyper's part of the connection has ended, so a last byte that it does not have is never sent.
+                    reset_when_closed(&stream);
+                    let status = self.status_without_response();
+                    debug!(
+                        txn = self.request.transaction_id(),
+                        server = %self.server.address,
+                        ?status,
+                        "attempt given up: the server takes no more of the request"
+                    );
+                    status.into()
+                }
             };
             return Ok(AttemptOutcome { sent_at: upload.completed_at(), ..outcome });
         }
@@ -295,6 +313,18 @@
     }
 }
 
+/// Limits the bytes that the kernel accepts for a connection without sending them, to [`MAX_UNSENT_BYTES`].
+fn limit_unsent_bytes(stream: &TcpStream) {
+    // Without the limit, room on the connection is only noticed later.
+    let _ = SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
+}
+
+/// Has a connection reset instead of closed: behind bytes that a server does not read, it would not notice a close.
+fn reset_when_closed(stream: &TcpStream) {
+    // An error means that the connection has ended.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
 #[cfg(test)]
 #[path = "../../tests/unit/upstream.rs"]
 mod tests;
