Reset a connection whose cut response only its close would end

Callers saw: to a client of HTTP/1.0 a response of unknown length ends with the connection. Where the server broke off in the middle, the node closed in an orderly way, and the client took the part for the whole.

Cause: the end of a connection was the same whether its response had come to its end or not.

--- a/crates/cli/tests/bodies.rs
+++ b/crates/cli/tests/bodies.rs
@@ -138,6 +138,24 @@
     assert_eq!(node.metric("downstream_requests.read.failed"), 1);
 }
 
+/// Guards clients of HTTP/1.0, to whom a response of unknown length ends with the connection: an orderly end after a part
+/// of it made that part look like the whole.
+#[test]
+fn a_truncated_long_response_ends_in_a_reset_where_a_close_would_end_it() {
+    let node = node_in_front_of(start_raw_server(|mut stream| {
+        read_head(&mut stream);
+        stream.write_all(b"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+        write!(stream, "{:x}\r\n", LONG).unwrap();
+        stream.write_all(&pattern(LONG / 2)).unwrap();
+    }));
+    let mut client = TcpStream::connect(node.address).unwrap();
+    client.set_read_timeout(Some(TIMEOUT)).unwrap();
+    client.write_all(get("read").replace("HTTP/1.1", "HTTP/1.0").as_bytes()).unwrap();
+    assert!(read_head(&mut client).contains(" 200 "));
+    let error = client.read_to_end(&mut Vec::new()).expect_err("the response looked complete");
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+}
+
 /// While a client reads nothing of a long response, the node must not read the server either, or it would buffer the
 /// whole body in memory.
 #[test]
--- a/crates/lab/tests/exchanges/client.rs
+++ b/crates/lab/tests/exchanges/client.rs
@@ -120,9 +120,10 @@
         Framing::Chunked { trailers: 0, .. } => "Transfer-Encoding: chunked\r\n".to_owned(),
         Framing::Chunked { .. } => "Transfer-Encoding: chunked\r\nTrailer: X-Sum-0\r\n".to_owned(),
     };
+    let version = if plan.is_http_1_0 { "HTTP/1.0" } else { "HTTP/1.1" };
     let connection = if plan.closes { "Connection: close\r\n" } else { "" };
     format!(
-        "POST /pay?exchange={} HTTP/1.1\r\nHost: service.internal\r\nX-Lane: pay\r\nX-Txn: {:016x}\r\n\
+        "POST /pay?exchange={} {version}\r\nHost: service.internal\r\nX-Lane: pay\r\nX-Txn: {:016x}\r\n\
          {framing}{connection}\r\n",
         plan.index, plan.index
     )
--- a/crates/lab/tests/exchanges/main.rs
+++ b/crates/lab/tests/exchanges/main.rs
@@ -23,6 +23,8 @@
 const CLIENTS: usize = 12;
 /// Exchanges that are in progress when a node is told to stop.
 const EXCHANGES_AT_STOP: usize = 8;
+/// Memory of the node: enough for all bodies of a seed, and too little for them.
+const MEMORY_MB: [u32; 2] = [192, 1];
 /// Time of a request from its last byte.
 const DEADLINE: Duration = Duration::from_millis(800);
 /// A final answer may come so long after the deadline.
@@ -71,7 +73,8 @@
         let plans: Arc<Vec<Plan>> =
             Arc::new((0..EXCHANGES).map(|index| Plan::with_drawn_ending(index, &mut random)).collect());
         let server = GuideServer::start(plans.clone());
-        let node = NodeProcess::start(server.address, DEADLINE);
+        let memory_mb = MEMORY_MB[random.usize(..MEMORY_MB.len())];
+        let node = NodeProcess::start(server.address, DEADLINE, memory_mb);
         let clients: Vec<_> = (0..CLIENTS)
             .map(|first| {
                 let (plans, to) = (plans.clone(), node.address);
@@ -104,7 +107,7 @@
         let plans: Arc<Vec<Plan>> =
             Arc::new((0..EXCHANGES_AT_STOP).map(|index| Plan::long_lasting(index, &mut random)).collect());
         let server = GuideServer::start(plans.clone());
-        let mut node = NodeProcess::start(server.address, DEADLINE);
+        let mut node = NodeProcess::start(server.address, DEADLINE, MEMORY_MB[0]);
         let clients: Vec<_> = (0..EXCHANGES_AT_STOP)
             .map(|index| {
                 let (plans, to) = (plans.clone(), node.address);
@@ -114,6 +117,9 @@
         server.wait_for_requests(EXCHANGES_AT_STOP);
         thread::sleep(Duration::from_millis(random.u64(..400))); // the drawn moment
         node.stop();
+        if random.bool() {
+            node.stop(); // a second signal changes nothing
+        }
         let answers: Vec<Answer> = clients.into_iter().map(|client| client.join().unwrap()).collect();
         let ended = Instant::now();
         for (plan, answer) in plans.iter().zip(&answers) {
--- a/crates/lab/tests/exchanges/node.rs
+++ b/crates/lab/tests/exchanges/node.rs
@@ -21,7 +21,7 @@
     _discovery: TcpListener, // silent: the node serves by its configuration's list
 }
 
-fn configuration(server: SocketAddr, discovery: SocketAddr, deadline: Duration) -> Value {
+fn configuration(server: SocketAddr, discovery: SocketAddr, deadline: Duration, memory_mb: u32) -> Value {
     let deadline = deadline.as_nanos() as u64;
     let class = json!({"Name": "pay", "Aim": deadline, "GiveUp": deadline, "Semantics": "once", "Group": "all",
         "Worth": 1.0, "LateValue": 0.0});
@@ -31,7 +31,7 @@
     };
     let servers: Vec<Value> = (0..SERVERS).map(server).collect();
     json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024},
         "known": {"index": 1, "snapshot": true, "endpoints": servers},
         "settings": {"Balancers": 1, "Categories": [class], "Discovery": "push",
             "Limits": {"ConnIdle": 30_000_000_000u64, "ConnectTimeout": 1_000_000_000, "MaxAttempts": 3,
@@ -50,11 +50,11 @@
 }
 
 impl NodeProcess {
-    /// Starts a node and waits until it serves.
-    pub fn start(server: SocketAddr, deadline: Duration) -> Self {
+    /// Starts a node and waits until it serves. A quarter of its memory is for buffered bodies.
+    pub fn start(server: SocketAddr, deadline: Duration, memory_mb: u32) -> Self {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
-        let text = configuration(server, discovery.local_addr().unwrap(), deadline).to_string();
+        let text = configuration(server, discovery.local_addr().unwrap(), deadline, memory_mb).to_string();
         let name = format!(
             "merlinfold-exchanges-{}-{}.json",
             std::process::id(),
--- a/crates/lab/tests/exchanges/plan.rs
+++ b/crates/lab/tests/exchanges/plan.rs
@@ -95,6 +95,8 @@
     pub last_piece: LastPiece,
     /// Whether the request tells the node to close the connection after the answer.
     pub closes: bool,
+    /// Whether the request is of HTTP/1.0; only where its length is told.
+    pub is_http_1_0: bool,
     /// How often the client pauses while it sends its body.
     pub pauses: u32,
     /// How often the server pauses while it sends its response.
@@ -118,13 +120,15 @@
         let body_length = draw(&BODY_LENGTHS, random);
         let chunked =
             Framing::Chunked { chunk: draw(&CHUNK_LENGTHS, random), trailers: draw(&[0, 1, 3], random) };
+        let framing = draw(&[Framing::ContentLength, chunked, chunked], random);
         let response_chunked = Framing::Chunked { chunk: 8_000, trailers: draw(&[0, 2], random) };
         Plan {
             index,
             body_length,
-            framing: draw(&[Framing::ContentLength, chunked, chunked], random),
+            framing,
             last_piece: draw(&[LastPiece::WithData, LastPiece::Alone, LastPiece::InBytes], random),
             closes: random.bool(),
+            is_http_1_0: framing == Framing::ContentLength && random.u8(..4) == 0,
             pauses: draw(&[0, 0, 1, 3], random),
             response_pauses: draw(&[0, 0, 1, 3], random),
             pause: Duration::from_millis(random.u64(1..60)),
--- a/crates/node/src/front/accept.rs
+++ b/crates/node/src/front/accept.rs
@@ -42,8 +42,16 @@
         let (front, stream, close_requested) = (self.clone(), Arc::new(stream), close_requested.clone());
         tokio::spawn(async move {
             let served = ServedConnection::new(&front);
-            front.serve_connection(SharedStream(stream.clone()), Some(stream.clone()), close_requested).await;
+            let (served_stream, ends_by_close) = (SharedStream(stream.clone()), AtomicBool::new(false));
+            let end = front
+                .serve_connection(served_stream, Some(stream.clone()), close_requested, &ends_by_close)
+                .await;
             drop(served);
+            if end == ConnectionEnd::Cut && ends_by_close.load(Ordering::Relaxed) {
+                // An orderly close would end the response for its client. An error means that it has already ended.
+                let _ = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+                return;
+            }
             let _ = SockRef::from(&*stream).shutdown(Shutdown::Write); // an error means that it has already ended
             let linger = if front.capacity.clients.free() == 0 { LINGER_WHEN_FULL } else { LINGER };
             let _ = timeout(linger, read_until_closed(&stream)).await;
--- a/crates/node/src/front/connection.rs
+++ b/crates/node/src/front/connection.rs
@@ -11,12 +11,22 @@
 /// Number of free slots below which connections are closed after their response.
 const KEEP_ALIVE_RESERVE: usize = 32;
 
+/// How a connection was served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ConnectionEnd {
+    /// Between messages, or in the middle of a request.
+    Orderly,
+    /// In the middle of a message, perhaps of a response.
+    Cut,
+}
+
 impl Front {
-    /// Serves one connection until it ends. `client_socket` is its socket, if it has one.
+    /// Serves one connection until it ends. `client_socket` is its socket, if it has one. Sets `ends_by_close` when a
+    /// response has no other end than that of the connection.
     pub(super) async fn serve_connection(
         &self, stream: impl AsyncRead + AsyncWrite + Unpin, client_socket: Option<Arc<TcpStream>>,
-        mut close_requested: watch::Receiver<bool>,
-    ) {
+        mut close_requested: watch::Receiver<bool>, ends_by_close: &AtomicBool,
+    ) -> ConnectionEnd {
         let mut posture = self.posture.clone();
         let ServingState { keep_alive: keeps, idle_closes: retired, .. } = *posture.borrow_and_update();
         let longest_deadline = self.deadlines.iter().copied().max().unwrap_or(0);
@@ -43,14 +53,20 @@
             }
         };
         tokio::pin!(timed_out);
-        let service = service_fn(|request| {
+        let service = service_fn(|request: Request<Incoming>| {
+            let is_http_1_0 = request.version() == Version::HTTP_10;
             let first_request_since = timeouts.request_started().then_some(accepted_at);
             let active_request = ActiveRequest {
                 timeouts: timeouts.clone(),
                 accepted_at,
                 client_socket: client_socket.clone(),
             };
-            self.handle_request(request, active_request, first_request_since)
+            async move {
+                let response = self.handle_request(request, active_request, first_request_since).await;
+                let has_length = response.as_ref().is_ok_and(|r| r.body().size_hint().exact().is_some());
+                ends_by_close.store(is_http_1_0 && !has_length, Ordering::Relaxed);
+                response
+            }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -81,7 +97,7 @@
         }
         connection.as_mut().graceful_shutdown();
         tokio::select! {
-            _ = connection => {} // an error is reported to the request on it
+            result = connection => self.count_end(result),
             reason = timed_out => self.count_timeout(reason),
         }
     }
@@ -92,7 +108,7 @@
     }
 
     /// Counts a connection that a timeout closes.
-    fn count_timeout(&self, reason: CloseReason) {
+    fn count_timeout(&self, reason: CloseReason) -> ConnectionEnd {
         increment(match reason {
             CloseReason::NoRequest => &self.stats.silent,
             CloseReason::Stalled => &self.stats.stalled,
@@ -101,16 +117,22 @@
         if self.posture.borrow().stop.is_some() {
             info!(?reason, "client connection closed by a timeout while the node stops");
         }
+        match reason {
+            CloseReason::NoRequest => ConnectionEnd::Orderly,
+            CloseReason::Stalled | CloseReason::DrainLimit => ConnectionEnd::Cut,
+        }
     }
 
     /// Counts a connection that ends because of an invalid or incomplete message; other errors are reported to the
     /// request on it.
-    fn count_end(&self, result: hyper::Result<()>) {
+    fn count_end(&self, result: hyper::Result<()>) -> ConnectionEnd {
         match result {
             Err(error) if error.is_parse() || error.is_incomplete_message() => {
-                increment(&self.stats.malformed)
+                increment(&self.stats.malformed);
+                ConnectionEnd::Orderly
             }
-            _ => {}
+            Err(error) if error.is_user() => ConnectionEnd::Cut, // the body of a response failed
+            _ => ConnectionEnd::Orderly,
         }
     }
 }
