Hold little of a long body in the kernel, so that slow peers are not cut

Cause: "nothing moves for 15 s" was read off the writes of the node. The kernel takes some 4 MB for one connection on loopback and tells of room only once a third of that is free: at 64 kB a second that is over 20 s.

Change: the kernel holds at most 64 KiB of a streamed response unsent (TCP_NOTSENT_LOWAT), as it already does of a streamed request, so that a client that reads slowly is told from one that does not read.

--- a/crates/cli/tests/bodies.rs
+++ b/crates/cli/tests/bodies.rs
@@ -295,25 +295,64 @@
     assert_eq!(node.metric("upstream_requests"), 18, "attempts whose last byte was written");
 }
 
-/// Waits until the other side has closed this connection, as the kernel tells it beside bytes that are not read.
-fn wait_for_close(stream: &TcpStream) {
+/// What the kernel tells of one end of a connection.
+struct SocketState {
+    is_closed_by_peer: bool,
+    /// Bytes that were written and that the peer's kernel has not acknowledged.
+    queued_bytes: usize,
+}
+
+/// Reads the kernel's state of the socket with these addresses, if it has one.
+fn socket_state(own: SocketAddr, other: SocketAddr) -> Option<SocketState> {
     const CLOSE_WAIT: &str = "08";
     let end = |address: SocketAddr| format!(":{:04X}", address.port());
-    let (own, other) = (end(stream.local_addr().unwrap()), end(stream.peer_addr().unwrap()));
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    table.lines().find_map(|line| {
+        let columns: Vec<&str> = line.split_whitespace().skip(1).take(4).collect();
+        let [from, to, state, queues] = columns[..] else { return None };
+        let is_this = from.ends_with(&end(own)) && to.ends_with(&end(other));
+        let queued_bytes = usize::from_str_radix(queues.split(':').next()?, 16).ok()?;
+        is_this.then_some(SocketState { is_closed_by_peer: state == CLOSE_WAIT, queued_bytes })
+    })
+}
+
+/// Waits until the other side has closed this connection, as the kernel tells it beside bytes that are not read.
+fn wait_for_close(stream: &TcpStream) {
+    let (own, other) = (stream.local_addr().unwrap(), stream.peer_addr().unwrap());
     let begun = Instant::now();
-    while begun.elapsed() < TIMEOUT {
-        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-        let state = table.lines().find_map(|line| {
-            let mut columns = line.split_whitespace().skip(1);
-            let is_this = columns.next()?.ends_with(&own) && columns.next()?.ends_with(&other);
-            columns.next().filter(|_| is_this)
-        });
-        if state.is_none_or(|state| state == CLOSE_WAIT) {
-            return;
-        }
+    while socket_state(own, other).is_some_and(|state| !state.is_closed_by_peer) {
+        assert!(begun.elapsed() < TIMEOUT, "the connection is still open");
         thread::sleep(Duration::from_millis(10));
     }
-    panic!("the connection is still open");
+}
+
+/// Guards clients that read slowly: the kernel took so much of a long response at once that it had room for more only
+/// after many seconds, and the node closed the connection, taking the client for one that does not read.
+#[test]
+fn the_kernel_holds_little_of_a_long_response_for_a_slow_client() {
+    const FAR_BEYOND_BUFFERS: usize = 48 << 20;
+    // At 64 kB a second room comes within 2 s, the time that a message may rest.
+    const MAX_QUEUED_BYTES: usize = 128 << 10;
+    let node = node_in_front_of(start_raw_server(|mut stream| {
+        read_head(&mut stream);
+        write!(stream, "HTTP/1.1 200 x\r\nContent-Length: {FAR_BEYOND_BUFFERS}\r\n\r\n").unwrap();
+        let _ = stream.write_all(&vec![0; FAR_BEYOND_BUFFERS]); // until the node closes the connection
+    }));
+    let mut client = TcpStream::connect(node.address).unwrap();
+    client.write_all(get("read").as_bytes()).unwrap();
+    assert!(read_head(&mut client).contains(" 200 "));
+    let (own, other) = (client.peer_addr().unwrap(), client.local_addr().unwrap());
+    let queued_bytes = || socket_state(own, other).expect("the node's end of the connection").queued_bytes;
+    let (mut queued, begun) = (queued_bytes(), Instant::now());
+    loop {
+        thread::sleep(Duration::from_millis(100));
+        let before = std::mem::replace(&mut queued, queued_bytes());
+        if queued > 0 && queued == before {
+            break;
+        }
+        assert!(begun.elapsed() < TIMEOUT, "the node does not fill the connection");
+    }
+    assert!(queued <= MAX_QUEUED_BYTES, "{queued} bytes queued for a client that does not read");
 }
 
 /// Guards callers and connections against a server that hangs while it takes a long request: no time ran before the last
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -22,7 +22,7 @@
 use crate::server_list::{Endpoint, ServerList};
 use crate::start_times::StartTimes;
 use crate::upstream::{
-    Attempt, AttemptOutcome, Connection, Pool, Server, ServerResponse, ServerResponseBody, UpstreamRequest,
+    Attempt, AttemptOutcome, Connection, Pool, Server, ServerResponseBody, UpstreamRequest,
 };
 use merlinfold_decide::interface::*;
 use merlinfold_decide::policy::Balancer;
--- a/crates/node/src/driver/pending_request.rs
+++ b/crates/node/src/driver/pending_request.rs
@@ -27,7 +27,7 @@
         self.request.cancellation.cancel();
         let end = match &reply {
             // A streamed response ends with its last byte.
-            Some(Reply::Served(ServerResponse { body: ServerResponseBody::Streamed(_), .. })) => None,
+            Some(reply) if reply.is_streamed() => None,
             Some(Reply::Served(_)) => Some(RequestEnd::Completed),
             Some(Reply::Refused { .. }) => Some(RequestEnd::Rejected),
             Some(Reply::Failed | Reply::Stalled) => Some(RequestEnd::Failed),
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -35,7 +35,7 @@
 use crate::input::{ClientRequest, Input, Reply};
 use crate::lifecycle::ServingState;
 use crate::request_head::RequestHead;
-use crate::stream::{is_transient, MonitoredStream, SharedStream};
+use crate::stream::{is_transient, limit_unsent_bytes, MonitoredStream, SharedStream};
 use crate::upstream::{Relay, RequestBody, ServerResponseBody, UpstreamRequest};
 use merlinfold_decide::interface::{Nanos, RequestId, Settings};
 use merlinfold_settings::{NameTable, NameTables};
@@ -305,6 +305,9 @@
             () = active_request.wait_for_disconnect() => return Err(StatusCode::BAD_REQUEST),
         };
         cancel_on_drop.answered = true;
+        if let (true, Some(client_socket)) = (reply.is_streamed(), &active_request.client_socket) {
+            limit_unsent_bytes(client_socket);
+        }
         Ok(build_response(reply, is_head))
     }
 }
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -10,7 +10,7 @@
 use crate::configuration::{ConfigurationChange, TenantRef};
 use crate::metrics::RequestEnd;
 use crate::server_list::ServerList;
-use crate::upstream::{AttemptOutcome, Connection, ServerResponse, UpstreamRequest};
+use crate::upstream::{AttemptOutcome, Connection, ServerResponse, ServerResponseBody, UpstreamRequest};
 
 /// A message from another part of the node to the driver.
 pub enum Input {
@@ -95,6 +95,13 @@
     Stalled,
 }
 
+impl Reply {
+    /// Returns whether the body of the response is streamed.
+    pub fn is_streamed(&self) -> bool {
+        matches!(self, Reply::Served(ServerResponse { body: ServerResponseBody::Streamed(_), .. }))
+    }
+}
+
 /// Returns a function that sends configuration changes to the driver; it returns false once the driver has stopped.
 pub fn deliver_changes(
     inputs: UnboundedSender<Input>,
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -14,6 +14,16 @@
 
 use crate::connection_timeouts::ConnectionTimeouts;
 
+/// Most bytes of a streamed body that the kernel holds unsent. A peer that reads slowly then makes room often enough to be
+/// told from one that does not read.
+const MAX_UNSENT_BYTES: u32 = 64 << 10;
+
+/// Limits the bytes that the kernel accepts for a connection without sending them, to [`MAX_UNSENT_BYTES`].
+pub fn limit_unsent_bytes(stream: &TcpStream) {
+    // Without the limit, room on the connection is only noticed later.
+    let _ = SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
+}
+
 /// A TCP stream with shared ownership; it closes when the last owner is dropped.
 ///
 /// Reads and writes continue until the kernel reports that the call would block. The runtime's own stream takes a
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -27,7 +27,7 @@
 use crate::capacity::Slots;
 use crate::clock::Clock;
 use crate::metrics::AttemptCounter;
-use crate::stream::SharedStream;
+use crate::stream::{limit_unsent_bytes, SharedStream};
 use merlinfold_decide::interface::{LoadReport, Nanos, ServerId, Status};
 use merlinfold_settings::{set_load_metric, HostLimits};
 
@@ -51,10 +51,6 @@
 /// The same for a response of known length: longer than any attempt, whose timeout ends it first.
 const KNOWN_LENGTH_BUFFERING: Duration = Duration::from_secs(86_400);
 
-/// Most bytes of a streamed request that the kernel holds unsent. A server that reads slowly then makes room often enough
-/// to be told from one that does not read.
-const MAX_UNSENT_BYTES: u32 = 64 << 10;
-
 /// A time that is never reached.
 pub const NEVER: Nanos = Nanos::MAX;
 
@@ -313,12 +309,6 @@
     }
 }
 
-/// Limits the bytes that the kernel accepts for a connection without sending them, to [`MAX_UNSENT_BYTES`].
-fn limit_unsent_bytes(stream: &TcpStream) {
-    // Without the limit, room on the connection is only noticed later.
-    let _ = SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
-}
-
 /// Has a connection reset instead of closed: behind bytes that a server does not read, it would not notice a close.
 fn reset_when_closed(stream: &TcpStream) {
     // An error means that the connection has ended.
