Count an upload as run once its server has begun to respond

Callers saw nothing of this yet; found by rereading. A server that begins its response before the end of a long request and then stops reading would have ended the attempt as "never ran", because the last byte was not handed over.

Change: a response that has begun is recorded with the upload and counts as "may have run", whatever ends the attempt.

--- a/crates/cli/tests/bodies.rs
+++ b/crates/cli/tests/bodies.rs
@@ -35,16 +35,6 @@
     RunningNode::start(&config)
 }
 
-/// Reads a message up to the end of its head.
-fn read_head(stream: &mut TcpStream) -> String {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).is_ok_and(|n| n == 1) {
-        head.push(byte[0]);
-    }
-    String::from_utf8(head).unwrap()
-}
-
 /// Returns bytes in which a lost, repeated or misplaced byte is detectable.
 fn pattern(length: usize) -> Vec<u8> {
     (0..length).map(|n| (n % 251) as u8).collect()
@@ -115,15 +105,18 @@
     assert_eq!((count("read"), count("pay")), (2, 1));
 }
 
+/// Answers a request with the first half of a long chunked response.
+fn send_truncated_response(mut stream: TcpStream) {
+    read_head(&mut stream);
+    stream.write_all(b"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+    write!(stream, "{:x}\r\n", LONG).unwrap();
+    stream.write_all(&pattern(LONG / 2)).unwrap();
+}
+
 /// A response that its server truncates must not look complete to the client.
 #[test]
 fn a_truncated_long_response_is_incomplete_for_the_client_and_counts_as_failed() {
-    let node = node_in_front_of(start_raw_server(|mut stream| {
-        read_head(&mut stream);
-        stream.write_all(b"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
-        write!(stream, "{:x}\r\n", LONG).unwrap();
-        stream.write_all(&pattern(LONG / 2)).unwrap();
-    }));
+    let node = node_in_front_of(start_raw_server(send_truncated_response));
     let mut client = TcpStream::connect(node.address).unwrap();
     client.set_read_timeout(Some(TIMEOUT)).unwrap();
     client.write_all(get("read").as_bytes()).unwrap();
@@ -142,12 +135,7 @@
 /// of it made that part look like the whole.
 #[test]
 fn a_truncated_long_response_ends_in_a_reset_where_a_close_would_end_it() {
-    let node = node_in_front_of(start_raw_server(|mut stream| {
-        read_head(&mut stream);
-        stream.write_all(b"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
-        write!(stream, "{:x}\r\n", LONG).unwrap();
-        stream.write_all(&pattern(LONG / 2)).unwrap();
-    }));
+    let node = node_in_front_of(start_raw_server(send_truncated_response));
     let mut client = TcpStream::connect(node.address).unwrap();
     client.set_read_timeout(Some(TIMEOUT)).unwrap();
     client.write_all(get("read").replace("HTTP/1.1", "HTTP/1.0").as_bytes()).unwrap();
@@ -367,9 +355,13 @@
         for stream in listener.incoming() {
             let (mut stream, closed) = (stream.unwrap(), closed.clone());
             thread::spawn(move || {
-                if read_head(&mut stream).contains("part") {
+                let head = read_head(&mut stream);
+                if head.contains("part") {
                     stream.read_exact(&mut vec![0; LONG]).unwrap();
                 }
+                if head.contains("answers") {
+                    stream.write_all(b"HTTP/1.1 200 x\r\nContent-Length: 5\r\n\r\nbegu").unwrap();
+                }
                 wait_for_close(&stream);
                 closed.send(()).unwrap();
             });
@@ -381,6 +373,7 @@
         ("stays&none", told.as_str()),
         ("stays&part", told.as_str()),
         ("stays&part", in_one_chunk),
+        ("stays&answers", told.as_str()),
         ("leaves&none", told.as_str()),
     ];
     for (what, framing) in cases {
@@ -402,7 +395,9 @@
             stream.shutdown(Shutdown::Both).unwrap();
         } else {
             let answer = Client::on(stream.try_clone().unwrap()).read().expect("an answer");
-            assert_eq!(answer.status(), 503, "the server cannot have run it: {what}, {framing}");
+            // A server that has begun to answer may have run the request; another one cannot.
+            let status = if what.contains("answers") { 502 } else { 503 };
+            assert_eq!(answer.status(), status, "{what}, {framing}");
         }
         closes.recv_timeout(TIMEOUT).unwrap_or_else(|_| panic!("the attempt goes on: {what}, {framing}"));
         sending.join().unwrap();
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Runs a node on loopback sockets, with servers and a discovery whose answers a test sets.
 #![allow(dead_code)] // each test file uses a part of this module
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::{mpsc, Arc, Condvar, Mutex};
@@ -333,6 +333,16 @@
     }
 }
 
+/// Reads a message up to the end of its head.
+pub fn read_head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).is_ok_and(|n| n == 1) {
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).unwrap()
+}
+
 pub fn call(method: &str, path: &str, body: &str) -> String {
     format!("{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}", body.len())
 }
--- a/crates/cli/tests/stop.rs
+++ b/crates/cli/tests/stop.rs
@@ -45,16 +45,6 @@
     stream
 }
 
-/// Reads a message up to the end of its head.
-fn read_head(stream: &mut TcpStream) -> String {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).is_ok_and(|n| n == 1) {
-        head.push(byte[0]);
-    }
-    String::from_utf8(head).unwrap()
-}
-
 /// Reads for [`REST`] and expects that nothing comes and that the connection stays open.
 fn expect_open(stream: &mut TcpStream) {
     stream.set_read_timeout(Some(REST)).unwrap();
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body/upload.rs
@@ -1,5 +1,4 @@
-//! Request and response bodies. Short bodies are buffered whole; long bodies are streamed frame by frame, so that
-//! neither side is read faster than the other accepts data.
+//! Streamed request bodies: the client's upload, and the body of the attempt that sends it.
 
 use std::future::Future;
 use std::io;
@@ -9,138 +8,21 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
+use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use merlinfold_decide::interface::Nanos;
-use tokio::sync::{Notify, OwnedSemaphorePermit};
-use tokio::time::{sleep, timeout_at, Instant, Sleep};
+use tokio::sync::Notify;
+use tokio::time::{sleep, Sleep};
 
-use crate::capacity::{Slots, BODY_UNIT_BYTES};
+use super::{BodyPrefix, BufferReservation};
 use crate::clock::Clock;
 use crate::metrics::AttemptCounter;
 
-/// Maximum size of a request or response body that is buffered, in bytes.
-pub const MAX_BUFFERED_BODY_BYTES: usize = 64 << 10;
-/// Bytes of a body that may be buffered without a reservation: as many as a connection buffers anyway.
-const UNRESERVED_BODY_BYTES: usize = 8 << 10;
 /// Longest time without a byte of a streamed request body before the client counts as stalled.
 const UPLOAD_STALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for a connection to go on by itself after the node was held up, before its server counts as unresponsive.
 const RESUME_GRACE: Duration = Duration::from_millis(20);
 
-/// Memory that all buffered bodies may use together.
-#[derive(Clone)]
-pub struct BufferBudget(pub Arc<Slots>);
-
-/// The share of the budget that one body has reserved; `None` for a body of at most [`UNRESERVED_BODY_BYTES`].
-pub type BufferReservation = Option<OwnedSemaphorePermit>;
-
-impl BufferBudget {
-    /// Reserves memory for a body of `bytes`; returns `None` if the budget has too little left.
-    fn reserve(&self, bytes: usize) -> Option<BufferReservation> {
-        if bytes <= UNRESERVED_BODY_BYTES {
-            return Some(None);
-        }
-        let units = bytes.div_ceil(BODY_UNIT_BYTES) as u32; // at most 64 for one buffered body
-        self.0.try_acquire(units).map(Some)
-    }
-}
-
-/// A complete body in memory, with its reservation.
-#[derive(Debug)]
-pub struct BufferedBody {
-    /// Content of the body.
-    pub bytes: Bytes,
-    _reservation: BufferReservation,
-}
-
-impl BufferedBody {
-    /// Wraps a body that fits in a connection's buffer and needs no reservation.
-    pub fn small(bytes: Bytes) -> Self {
-        BufferedBody { bytes, _reservation: None }
-    }
-}
-
-impl From<BodyPrefix> for BufferedBody {
-    fn from(prefix: BodyPrefix) -> Self {
-        BufferedBody { bytes: prefix.bytes, _reservation: prefix.reservation }
-    }
-}
-
-/// The first part of a body, read before it is known whether the body is buffered or streamed.
-pub struct BodyPrefix {
-    /// Bytes read so far.
-    pub bytes: Bytes,
-    /// Reservation for these bytes.
-    pub reservation: BufferReservation,
-    /// Whether these bytes are the whole body.
-    pub is_complete: bool,
-}
-
-/// Why a body could not be read.
-pub enum BodyError {
-    /// The next bytes did not arrive in time.
-    TimedOut,
-    /// The connection failed or the framing is invalid.
-    Broken,
-}
-
-/// Reads a body until it is complete or exceeds what may be buffered. `wait_limit` maps the number of bytes received to
-/// the time until which to wait for more, and to what happens then: an error, or streaming of the rest.
-pub async fn buffer_body(
-    body: &mut Incoming, budget: &BufferBudget, wait_limit: impl Fn(usize) -> (Instant, OnTimeout),
-) -> Result<BodyPrefix, BodyError> {
-    let length_hint = body.size_hint().exact();
-    let nothing_read = BodyPrefix { bytes: Bytes::new(), reservation: None, is_complete: false };
-    // Memory for a body of known length is reserved once; one that does not fit is streamed from its first byte.
-    let mut reservation = match length_hint {
-        Some(length) if length > MAX_BUFFERED_BODY_BYTES as u64 => return Ok(nothing_read),
-        Some(length) => match budget.reserve(length as usize) {
-            Some(reservation) => reservation,
-            None => return Ok(nothing_read),
-        },
-        None => None,
-    };
-    let mut buffer = BytesMut::new();
-    while !body.is_end_stream() {
-        let (deadline, on_timeout) = wait_limit(buffer.len());
-        let frame = match timeout_at(deadline, body.frame()).await {
-            Ok(None) => break,
-            Ok(Some(frame)) => frame.map_err(|_| BodyError::Broken)?,
-            Err(_) => match on_timeout {
-                OnTimeout::Fail => return Err(BodyError::TimedOut),
-                OnTimeout::Stream => {
-                    return Ok(BodyPrefix { bytes: buffer.freeze(), reservation, is_complete: false })
-                }
-            },
-        };
-        let Ok(data) = frame.into_data() else { continue }; // trailers are dropped: the node chooses its own framing
-        if buffer.is_empty() && length_hint == Some(data.len() as u64) {
-            return Ok(BodyPrefix { bytes: data, reservation, is_complete: true });
-        }
-        buffer.extend_from_slice(&data);
-        if length_hint.is_none() && reservation.is_none() && buffer.len() > UNRESERVED_BODY_BYTES {
-            match budget.reserve(MAX_BUFFERED_BODY_BYTES) {
-                Some(reserved) => reservation = reserved,
-                None => return Ok(BodyPrefix { bytes: buffer.freeze(), reservation, is_complete: false }),
-            }
-        }
-        if buffer.len() > MAX_BUFFERED_BODY_BYTES {
-            return Ok(BodyPrefix { bytes: buffer.freeze(), reservation, is_complete: false });
-        }
-    }
-    Ok(BodyPrefix { bytes: buffer.freeze(), reservation, is_complete: true })
-}
-
-/// What happens when no more of a body arrives in time.
-pub enum OnTimeout {
-    /// Reading fails, because the sender is too slow.
-    Fail,
-    /// The bytes received so far are forwarded, and the rest is streamed.
-    Stream,
-}
-
 /// A streamed request body. Bytes that were passed on are not kept, so the body can be sent once only, except while no
 /// byte beyond the prefix has been read.
 pub struct Upload {
@@ -148,6 +30,7 @@
     length: Option<u64>,
     consumed: AtomicBool,
     stalled: AtomicBool,
+    response_begun: AtomicBool,
     awaits_client: AtomicBool, // the connection has room, and the client owes the next bytes
     taken_at: AtomicU64,       // when a connection last took bytes
     completed_at: AtomicU64,   // when the last byte was handed to a connection; 0: not yet
@@ -171,6 +54,7 @@
             length: length_hint,
             consumed: AtomicBool::new(false),
             stalled: AtomicBool::new(false),
+            response_begun: AtomicBool::new(false),
             awaits_client: AtomicBool::new(false),
             taken_at: AtomicU64::new(0),
             completed_at: AtomicU64::new(0),
@@ -204,6 +88,16 @@
         Some(self.completed_at.load(Ordering::Relaxed)).filter(|&at| at > 0)
     }
 
+    /// Records that a server has begun to respond: whatever it has of the request, it may have run it.
+    pub fn response_begun(&self) {
+        self.response_begun.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether a server may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.completed_at().is_some() || self.response_begun.load(Ordering::Relaxed)
+    }
+
     /// Waits until the last byte has been handed to a connection, and returns that time.
     pub async fn wait_until_complete(&self) -> Nanos {
         loop {
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -221,7 +221,12 @@
             self.sent_attempts.increment();
         }
         match sent.await {
-            Ok(response) => Ok(self.receive(connection, response).await),
+            Ok(response) => {
+                if let Some(upload) = upload {
+                    upload.response_begun();
+                }
+                Ok(self.receive(connection, response).await)
+            }
             Err(mut error) => match error.take_message() {
                 Some(_unsent) => {
                     if upload.is_none() {
@@ -244,12 +249,12 @@
         }
     }
 
-    /// The outcome of a request that was at least partly written and got no response. No server starts on a request
-    /// before its last byte; a client that stopped sending is not the server's fault.
+    /// The outcome of a request that was at least partly written and got no whole response. No server starts on a request
+    /// before its last byte, unless its response shows otherwise; a client that stopped sending is not the server's fault.
     fn status_without_response(&self) -> Status {
         match self.request.upload() {
             Some(upload) if upload.is_stalled() => Status::NotSent,
-            Some(upload) if upload.completed_at().is_none() => Status::ConnectFailed,
+            Some(upload) if !upload.may_have_run() => Status::ConnectFailed,
             _ => Status::Reset,
         }
     }
