Reserve the retry of an attempt before it may end early

Callers saw 503 with seconds left when all servers paused for a moment: 14 of 16 requests in flight after 100 ms, with a target of 2 s.

Cause: an attempt was ended when overdue as long as one retry token was there, so any number of attempts relied on the same ten. Beyond the tenth the retry was not affordable, and the request was refused.

A retry of a server that is gone (unconnected=0) and refusals without an attempt (all of the refused had timed out) are excluded by the same lines.

Change: an attempt that is to end early reserves its retry token, in RetryTokens, and returns it when it ends or its request is answered. Without a token to reserve, or with the deployment's retry budget spent, the attempt waits until the client's timeout. So no attempt ends early whose retry cannot be paid, whatever the number in flight.

a_pause_of_all_servers_refuses_no_request_that_has_time_left failed before: "11 of 11 requests are refused".

--- a/crates/decide/src/policy/admission.rs
+++ b/crates/decide/src/policy/admission.rs
@@ -30,7 +30,7 @@
             max_attempts: self.settings.max_attempts as usize,
             ..PendingRequest::default()
         };
-        self.retry_tokens = (self.retry_tokens + RETRY_TOKENS_PER_REQUEST).min(MAX_RETRY_TOKENS);
+        self.retry_tokens.add_request();
         // An operator who has taken all servers out of service will not put one back in time for the client.
         let all_in_maintenance =
             self.class_totals[class].allowed_servers == 0 && !self.in_maintenance.is_empty();
@@ -205,6 +205,9 @@
         self.dequeue(id);
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.answered = true;
+        for attempt in &mut request.attempts {
+            attempt.release_retry_token(&mut self.retry_tokens);
+        }
         if request.attempts.iter().all(|a| !a.open) {
             self.requests.remove(&id);
         }
--- a/crates/decide/src/policy/constants.rs
+++ b/crates/decide/src/policy/constants.rs
@@ -45,11 +45,6 @@
 /// A longer latency, 13 days, is a clock error.
 pub const MAX_LATENCY: Nanos = 1 << 50;
 
-/// Retry tokens that each request adds. A retry after an attempt that may have run takes one token.
-pub const RETRY_TOKENS_PER_REQUEST: f64 = 0.1;
-
-pub const MAX_RETRY_TOKENS: f64 = 10.0;
-
 /// The budget where the deployment states none.
 pub const UNLIMITED_RETRIES: RetryBudget = RetryBudget { base: f64::INFINITY, per_request: 0.0, window: 0 };
 
--- a/crates/decide/src/policy/mod.rs
+++ b/crates/decide/src/policy/mod.rs
@@ -13,6 +13,7 @@
 mod feedback;
 mod load;
 mod ranking;
+mod retry_tokens;
 mod selection;
 mod server_list;
 mod slow_start;
@@ -25,6 +26,7 @@
 use crate::ring::{self, Candidate, Ring, Rotation, Slot};
 pub use backoff::Backoff;
 use constants::*;
+use retry_tokens::RetryTokens;
 use state::*;
 
 /// The decisions of one node: a deterministic state machine without I/O.
@@ -74,7 +76,7 @@
     tenant_rates: Vec<DecayingSum>,
     /// Work of the received requests, by class.
     offered_work: Vec<DecayingSum>,
-    retry_tokens: f64,
+    retry_tokens: RetryTokens,
     retry_budget: RetryBudget,
     /// Requests in the window of the retry budget.
     recent_requests: SlidingWindow,
@@ -113,7 +115,6 @@
             class_totals: vec![ClassTotals::default(); classes],
             speed_model: SpeedModel { unmeasured: 1.0, scale: 1.0, reserved: Vec::new() },
             depth_limit: u32::MAX,
-            retry_tokens: MAX_RETRY_TOKENS,
             retry_budget: settings.retry_budget.unwrap_or(UNLIMITED_RETRIES),
             watch_at: Nanos::MAX,
             watch_backoff: Backoff::new(settings.watch_interval),
--- a/crates/decide/src/policy/state.rs
+++ b/crates/decide/src/policy/state.rs
@@ -77,11 +77,22 @@
     pub depth: usize,
     pub timeout: Nanos,
     pub open: bool,
+    /// The attempt ends early if it gets no answer, and a token is reserved for its retry.
+    pub has_retry_token: bool,
     /// The attempt does not keep its server busy: its body is still being sent, or it is overdue and later
     /// attempts have been answered.
     pub excluded_from_load: bool,
 }
 
+impl Attempt {
+    /// Releases the token that is reserved for the retry of this attempt, if there is one.
+    pub fn release_retry_token(&mut self, tokens: &mut RetryTokens) {
+        if std::mem::take(&mut self.has_retry_token) {
+            tokens.release();
+        }
+    }
+}
+
 #[derive(Default)]
 pub struct PendingRequest {
     pub class: usize,
--- a/crates/decide/tests/failures.rs
+++ b/crates/decide/tests/failures.rs
@@ -781,3 +781,69 @@
     let (_, actions) = fresh.request(0, 2 * MS);
     assert!(sent_to(&actions).is_some(), "{actions:?}");
 }
+
+/// Ends the last attempt of each request with a timeout, and then those of their retries; returns the requests
+/// that are refused.
+fn refused_while_every_attempt_that_may_end_early_does(
+    node: &mut TestNode, mut open: Vec<(RequestId, u32, Vec<Action>)>,
+) -> Vec<RequestId> {
+    let mut refused = vec![];
+    while let Some((id, attempt, actions)) = open.pop() {
+        let sent = actions.iter().find_map(|action| match action {
+            Action::Send { id: of, server, timeout, .. } if *of == id => Some((*server, *timeout)),
+            _ => None,
+        });
+        match sent {
+            Some((server, timeout)) if timeout > 0 => {
+                let actions = node.end_attempt(id, attempt, server, Status::Timeout, timeout);
+                open.insert(0, (id, attempt + 1, actions));
+            }
+            Some(_) => {} // waits for its answer until the client's timeout
+            None => refused.push(id),
+        }
+    }
+    refused
+}
+
+#[test]
+fn a_pause_of_all_servers_refuses_no_request_that_has_time_left() {
+    // 16 servers paused for 100 ms: 24 attempts ended early for the ten retries that the node could afford, and 14
+    // requests with seconds left were refused.
+    for in_flight in [2, 11, 16, 60, 300] {
+        let patient = Class { target_latency: 20 * S, deadline: 50 * S, ..class(Idempotency::Idempotent) };
+        let mut node = TestNode::new(settings(vec![patient]), in_flight, 11);
+        for _ in 0..400 {
+            node.advance(20 * MS);
+            node.serve(0, |_| 10 * MS);
+        }
+        let sent: Vec<_> = (0..in_flight).map(|_| node.request(0, 50 * S)).collect();
+        node.now += 100 * MS;
+        let open = sent.into_iter().map(|(id, actions)| (id, 0, actions)).collect();
+        let refused = refused_while_every_attempt_that_may_end_early_does(&mut node, open);
+        assert!(refused.is_empty(), "{} of {in_flight} requests are refused", refused.len());
+    }
+}
+
+#[test]
+fn a_retry_token_is_free_again_however_its_attempt_ends() {
+    let mut node = trained_node(16);
+    for turn in 0..1_000 {
+        node.advance(20 * MS);
+        let (id, actions) = node.request(0, S);
+        let server = sent_to(&actions).expect("a request to idle servers is sent");
+        match turn % 3 {
+            0 => drop(node.end_attempt(id, 0, server, Status::Ok, 10 * MS)),
+            1 => {
+                node.handle(Event::ClientGone(id));
+                node.end_attempt(id, 0, server, Status::Cancelled, 10 * MS);
+            }
+            _ => {
+                node.handle(Event::ResponseStarted { id, attempt: 0, latency: 10 * MS });
+                node.end_attempt(id, 0, server, Status::Ok, 10 * MS);
+            }
+        }
+    }
+    let (_, actions) = node.request(0, S);
+    let guarded = |action: &Action| matches!(action, Action::Send { timeout, .. } if *timeout > 0);
+    assert!(actions.iter().any(guarded), "an attempt ends early if its retry is affordable: {actions:?}");
+}
