Show in the closed-loop table how long the servers were held up

Need: when requests were refused, the table did not tell a pause of the machine from a fault of the node; it was inferred from the time-outs in the node's log.

Change: the servers' thread measures by how much a timer of 5 ms is late; the column "pause ms" has the longest of each round. What is checked and the exit code stay.

--- a/crates/lab/src/closed.rs
+++ b/crates/lab/src/closed.rs
@@ -27,6 +27,8 @@
 const START_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time within which a node has to exit after SIGTERM.
 const STOP_TIMEOUT: Duration = Duration::from_secs(5);
+/// Interval at which the servers' thread measures by how much it is held up.
+const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Descriptors that a node may open.
 const SOCKETS: usize = 4_096;
 const MAX_CLIENTS: u64 = 512;
@@ -102,7 +104,7 @@
     let forwarder = own.with_file_name("merlinfold-lab-forwarder").display().to_string();
     let node = options.node.as_deref().map_or_else(NodeCommand::own, NodeCommand::of)?;
     println!(
-        "{:<10} {:>5} {:>8} {:>6} {:>8} {:>8} {:>6} {:>8} {:>9} {:>9} {:>10}",
+        "{:<10} {:>5} {:>8} {:>6} {:>8} {:>8} {:>6} {:>8} {:>9} {:>9} {:>10} {:>9}",
         "",
         "round",
         "served",
@@ -113,7 +115,8 @@
         "seconds",
         "p50 ms",
         "p99 ms",
-        "us/served"
+        "us/served",
+        "pause ms"
     );
     let of_node = run_rounds(options, "node", &node).await?;
     let of_forwarder = run_rounds(options, "forwarder", &NodeCommand::of(&forwarder)?).await?;
@@ -150,9 +153,37 @@
     .to_string()
 }
 
-/// Serves the servers and discovery in a dedicated thread until the returned sender is dropped.
-fn serve(options: &Closed, range: &Arc<Range>) -> Result<oneshot::Sender<()>, String> {
+/// The longest time by which the servers' thread was held up by the machine, in microseconds.
+#[derive(Clone, Default)]
+struct LongestPause(Arc<AtomicU64>);
+
+impl LongestPause {
+    /// Measures the pauses of the present thread until it is dropped.
+    async fn measure(self) {
+        loop {
+            let due = Instant::now() + PAUSE_CHECK_INTERVAL;
+            tokio::time::sleep_until(due).await;
+            self.0.fetch_max(due.elapsed().as_micros() as u64, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the longest pause since the last call, in milliseconds.
+    fn take_ms(&self) -> f64 {
+        self.0.swap(0, Ordering::Relaxed) as f64 / 1e3
+    }
+}
+
+/// Servers and discovery in a dedicated thread, which ends when this is dropped.
+struct Served {
+    _stop: oneshot::Sender<()>,
+    longest_pause: LongestPause,
+}
+
+/// Serves the servers and discovery in a dedicated thread.
+fn serve(options: &Closed, range: &Arc<Range>) -> Result<Served, String> {
     let (stop, stopped) = oneshot::channel::<()>();
+    let longest_pause = LongestPause::default();
+    let measured = longest_pause.clone();
     let (opened_sender, opened_receiver) = std::sync::mpsc::channel();
     let addresses: Vec<SocketAddr> = (0..options.servers).map(|n| range.server(0, n as usize)).collect();
     let (discovery, service, slots) = (range.discovery(0), options.service_ms, options.slots);
@@ -162,6 +193,7 @@
         let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else { return };
         runtime.block_on(async {
             let mut tasks = JoinSet::new();
+            tasks.spawn(measured.measure());
             let open = |at: SocketAddr| {
                 let socket = TcpSocket::new_v4()?;
                 socket.set_reuseaddr(true)?;
@@ -184,7 +216,7 @@
     opened_receiver
         .recv()
         .map_err(|_| "the server thread ended before its sockets were open".to_owned())??;
-    Ok(stop)
+    Ok(Served { _stop: stop, longest_pause })
 }
 
 /// A discovery service whose list never changes: it leaves every poll unanswered.
@@ -221,7 +253,7 @@
 
 async fn run_rounds(options: &Closed, name: &str, command: &NodeCommand) -> Result<Outcome, String> {
     let range = Arc::new(Range::claim()?);
-    let _servers = serve(options, &range)?;
+    let servers = serve(options, &range)?;
     let folder = Folder::new(None)?;
     let mut process = Process::start(command, 0, &configuration(options, &range), SOCKETS, &folder.path)?;
     let at = range.node(0);
@@ -232,6 +264,7 @@
     let mut cpu = first;
     for number in 1..=options.rounds {
         let round = Arc::new(Round::default());
+        servers.longest_pause.take_ms();
         let left = Arc::new(AtomicU64::new(options.requests));
         let begun = Instant::now();
         let mut clients = JoinSet::new();
@@ -249,7 +282,8 @@
         refused_later += count(&round.refused_later);
         all_served += served;
         println!(
-            "{name:<10} {number:>5} {served:>8} {:>6} {refused:>8} {:>8} {:>6} {:>8.1} {:>9.1} {:>9.1} {:>10.1}",
+            "{name:<10} {number:>5} {served:>8} {:>6} {refused:>8} {:>8} {:>6} {:>8.1} {:>9.1} {:>9.1} {:>10.1} \
+             {:>9.1}",
             count(&round.late),
             count(&round.refused_later),
             count(&round.other),
@@ -257,6 +291,7 @@
             latencies.value_at_quantile(0.5) as f64 / 1e3,
             latencies.value_at_quantile(0.99) as f64 / 1e3,
             1e6 * (used - cpu) / served.max(1) as f64,
+            servers.longest_pause.take_ms(),
         );
         cpu = used;
     }
--- a/crates/lab/tests/command.rs
+++ b/crates/lab/tests/command.rs
@@ -29,6 +29,19 @@
     assert_eq!(over.status.code(), Some(1));
 }
 
+/// Guards the tables of refusals: whoever reads them has to see whether the machine held the servers up.
+#[test]
+fn a_pause_of_the_servers_is_told_beside_what_was_refused() {
+    let ended = lab(&["closed", "--clients", "4", "--rounds", "1", "--requests", "400"]);
+    let told = String::from_utf8([ended.stdout, ended.stderr].concat()).unwrap();
+    let mut rows = told.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let head = rows.next().unwrap();
+    assert!(head.ends_with(&["pause", "ms"]), "{told}");
+    let pause_of = |row: Vec<&str>| row.last().and_then(|ms| ms.parse::<f64>().ok());
+    let pauses: Vec<_> = rows.filter(|row| row.first() == Some(&"node")).map(pause_of).collect();
+    assert!(matches!(pauses[..], [Some(ms)] if ms > 0.0), "{told}");
+}
+
 /// An interrupted run must leave no node process behind.
 #[test]
 fn interrupted_run_ends_all_its_processes() {
