--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod http;
 mod load;
 pub mod net;
+pub mod peer_faults;
 pub mod platform;
 pub mod process;
 pub mod runner;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,7 +9,7 @@
 use merlinfold_lab::compare::paired;
 use merlinfold_lab::process::NodeCommand;
 use merlinfold_lab::runner::{Plan, RunOutcome};
-use merlinfold_lab::{capacity, experiments, html, runner, scale, sim, trial};
+use merlinfold_lab::{capacity, experiments, html, peer_faults, runner, scale, sim, trial};
 use merlinfold_simulation::experiment::Experiment;
 use tokio::signal::unix::{signal, SignalKind};
 
@@ -97,6 +97,8 @@
     },
     /// Run closed-loop clients against a node and against a bare forwarder.
     Closed(merlinfold_lab::closed::Closed),
+    /// Play misbehaving clients and servers, drawn from a seed, against processes of one node with little memory.
+    PeerFaults(peer_faults::command::PeerFaults),
     /// List the built-in experiments and their questions.
     List,
     /// Run this program as a node; the lab starts its nodes this way.
@@ -138,6 +140,7 @@
             })
             .map(|()| ExitCode::SUCCESS),
         Command::Capacity { command } => capacity::command::execute(command),
+        Command::PeerFaults(options) => peer_faults::command::execute(&options),
         other => runtime().and_then(|runtime| runtime.block_on(run_until_signal(other))),
     };
     ended.unwrap_or_else(|error| {
@@ -214,7 +217,9 @@
         Command::Closed(closed) => merlinfold_lab::closed::run(&closed).await,
         Command::Scale { command } => scale::command::execute(command).await,
         Command::Trial { command } => trial::command::execute(command).await,
-        Command::List | Command::Node { .. } | Command::Capacity { .. } => Ok(ExitCode::SUCCESS),
+        Command::List | Command::Node { .. } | Command::Capacity { .. } | Command::PeerFaults(_) => {
+            Ok(ExitCode::SUCCESS)
+        }
     }
 }
 
--- /dev/null
+++ b/crates/lab/src/peer_faults/crowd.rs
@@ -0,0 +1,177 @@
+//! Crowds of misbehaving clients, and clients of misbehaving servers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout_at};
+
+use super::exchange::{read_answer, request, request_head, write, Answer, ServerTask};
+use super::ledger::Ledger;
+use super::scenario::{Peers, Scenario};
+use super::steady::connect;
+use super::{flood, leaver};
+
+/// Longest wait of a misbehaving client for the next bytes.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// A final answer may come so long after the time of its request, with what a busy machine may add.
+const LATE_ANSWER: Duration = Duration::from_millis(700);
+const READ_PIECE: usize = 64 << 10;
+/// Time between two exchanges of one client.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Plays all peers of the scenario until `end`.
+pub async fn play(scenario: &Scenario, to: SocketAddr, end: Instant, ledger: Arc<Ledger>) {
+    let mut clients = JoinSet::new();
+    for (peers, count) in &scenario.peers {
+        for _ in 0..*count {
+            let client = CrowdClient { to, deadline: scenario.deadline(), ledger: ledger.clone() };
+            // A client that holds a connection gives it up at the end; others come to their own.
+            clients.spawn(client.run(*peers, end));
+        }
+    }
+    super::join_all(clients).await;
+}
+
+/// One client of a crowd, with one connection at a time.
+#[derive(Clone)]
+pub struct CrowdClient {
+    /// Address of the node.
+    pub to: SocketAddr,
+    /// Time that the client waits for an answer.
+    pub deadline: Duration,
+    /// Record of what was sent.
+    pub ledger: Arc<Ledger>,
+}
+
+impl CrowdClient {
+    async fn run(self, peers: Peers, end: Instant) {
+        while Instant::now() < end {
+            match peers {
+                // These end by themselves, and are judged.
+                Peers::SlowServerRead { length, is_chunked, rate } => {
+                    self.slow_server_read(length, is_chunked, rate).await;
+                }
+                Peers::SlowServerWrite { answer, over_ms, has_length } => {
+                    self.slow_server_write(answer, over_ms, has_length).await;
+                }
+                Peers::Leaver { requests, resets, returns } => {
+                    leaver::play(&self, requests, resets, returns).await;
+                }
+                Peers::Flood(kind) => flood::play(&self, kind, end).await,
+                others => _ = timeout_at(end.into(), self.hold(others)).await,
+            }
+            sleep(PAUSE).await;
+        }
+    }
+
+    /// Plays a client that is not judged, until its connection ends.
+    async fn hold(&self, peers: Peers) {
+        let mut stream = connect(self.to).await;
+        let mut read_piece = (READ_PIECE, Duration::ZERO);
+        let written = match peers {
+            Peers::StoppedUpload { length, sent } => {
+                let whole = self.request(ServerTask::default(), length);
+                write(&mut stream, &whole[..whole.len() - (length - sent)]).await
+            }
+            Peers::PiecewiseUpload { length, piece, over_ms } => {
+                self.write_in_pieces(&mut stream, length, piece, Duration::from_millis(over_ms)).await
+            }
+            Peers::LongExchange { length, answer } => {
+                write(&mut stream, &self.request(ServerTask { answer, ..ServerTask::default() }, length))
+                    .await
+            }
+            Peers::ManyFields { fields, is_whole } => {
+                let lines: String = (0..fields).map(|_| "a:\r\n").collect();
+                let head = request_head(self.ledger.new_id(), &ServerTask::default(), self.deadline, &lines);
+                let end = if is_whole { head.len() } else { head.len() - 2 };
+                write(&mut stream, &head.as_bytes()[..end]).await
+            }
+            Peers::SlowReader { answer, rate } => {
+                let _ = socket2::SockRef::from(&stream).set_recv_buffer_size(READ_PIECE);
+                read_piece = (rate / 10, Duration::from_millis(100));
+                write(&mut stream, &self.request(ServerTask { answer, ..ServerTask::default() }, 0)).await
+            }
+            _ => return,
+        };
+        if written.is_ok() {
+            let _ = read_answer(&mut stream, PATIENCE, read_piece.0, read_piece.1).await;
+        }
+    }
+
+    fn request(&self, task: ServerTask, length: usize) -> Vec<u8> {
+        request(self.ledger.new_id(), &task, self.deadline, length)
+    }
+
+    async fn write_in_pieces(
+        &self, stream: &mut TcpStream, length: usize, piece: usize, over: Duration,
+    ) -> std::io::Result<Instant> {
+        let text = self.request(ServerTask::default(), length);
+        let head = text.len() - length;
+        let mut at = write(stream, &text[..head]).await?;
+        let pause = over / length.div_ceil(piece) as u32;
+        for piece in text[head..].chunks(piece) {
+            at = write(stream, piece).await?;
+            sleep(pause).await;
+        }
+        Ok(at)
+    }
+
+    /// A long request whose server reads slowly: its final answer is due as that of any request.
+    async fn slow_server_read(&self, length: usize, is_chunked: bool, read_rate: usize) {
+        let mut stream = connect(self.to).await;
+        let task = ServerTask { answer: 10, read_rate, ..ServerTask::default() };
+        let id = self.ledger.new_id();
+        let text = match is_chunked {
+            false => request(id, &task, self.deadline, length),
+            true => chunked_request(id, &task, self.deadline, length),
+        };
+        let sent = match write(&mut stream, &text).await {
+            Ok(sent) => sent,
+            Err(_) => Instant::now(), // answered before its last byte
+        };
+        let answer = read_answer(&mut stream, PATIENCE, READ_PIECE, Duration::ZERO).await;
+        let what = format!("request {id:016x} of {length} bytes to a server that reads {read_rate} B/s");
+        match answer {
+            Ok(Some(Answer { status, head_at, .. })) => {
+                let wait = head_at.saturating_duration_since(sent);
+                if wait > self.deadline + LATE_ANSWER {
+                    self.ledger.report(format!("{what} answered {status} after {} ms", wait.as_millis()));
+                }
+            }
+            Ok(None) | Err(_) => self.ledger.report(format!("{what} got no answer")),
+        }
+    }
+
+    /// A request whose server writes a long answer slowly: it comes whole.
+    async fn slow_server_write(&self, answer: usize, over_ms: u64, has_length: bool) {
+        let mut stream = connect(self.to).await;
+        let id = self.ledger.new_id();
+        let task = ServerTask { answer, over_ms, has_no_length: !has_length, ..ServerTask::default() };
+        if write(&mut stream, &request(id, &task, self.deadline, 0)).await.is_err() {
+            return;
+        }
+        let read = read_answer(&mut stream, PATIENCE, READ_PIECE, Duration::ZERO).await;
+        let is_cut = matches!(read, Ok(Some(Answer { status: 200, is_whole: false, .. })));
+        if is_cut {
+            self.ledger.report_unless_killed(format!(
+                "answer {id:016x} of {answer} bytes over {over_ms} ms was cut"
+            ));
+        }
+    }
+}
+
+/// Returns a whole request in chunks.
+fn chunked_request(id: u64, task: &ServerTask, deadline: Duration, length: usize) -> Vec<u8> {
+    const CHUNK: usize = 8_000;
+    let mut text = request_head(id, task, deadline, "Transfer-Encoding: chunked\r\n").into_bytes();
+    for chunk in vec![b'x'; length].chunks(CHUNK) {
+        text.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+        text.extend_from_slice(chunk);
+        text.extend_from_slice(b"\r\n");
+    }
+    text.extend_from_slice(b"0\r\n\r\n");
+    text
+}
--- /dev/null
+++ b/crates/lab/src/peer_faults/exchange.rs
@@ -0,0 +1,114 @@
+//! Requests as the lab's clients write them, and answers as they read them.
+
+use std::io;
+use std::time::{Duration, Instant};
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// Longest head of an answer in bytes.
+const MAX_HEAD: usize = 16 << 10;
+
+/// What the server is asked to do with a request: the query of its path.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ServerTask {
+    /// Length of the answer in bytes.
+    pub answer: usize,
+    /// Time over which the answer is written, in milliseconds.
+    pub over_ms: u64,
+    /// Rate at which the body is read, in bytes per second; 0 is as fast as possible.
+    pub read_rate: usize,
+    /// Whether the answer has no length.
+    pub has_no_length: bool,
+}
+
+impl ServerTask {
+    fn query(&self) -> String {
+        let ServerTask { answer, over_ms, read_rate, has_no_length } = self;
+        format!("answer={answer}&over={over_ms}&rate={read_rate}&open={}", u8::from(*has_no_length))
+    }
+}
+
+/// Returns the head of a request that must not run twice. `fields` are further lines, each with its end.
+pub fn request_head(id: u64, task: &ServerTask, deadline: Duration, fields: &str) -> String {
+    format!(
+        "POST /pay?{} HTTP/1.1\r\nHost: service.internal\r\nX-Lane: pay\r\nX-Txn: {id:016x}\r\n\
+         X-Remaining-Ms: {}\r\n{fields}\r\n",
+        task.query(),
+        deadline.as_millis()
+    )
+}
+
+/// Returns a whole request with a body of known length.
+pub fn request(id: u64, task: &ServerTask, deadline: Duration, length: usize) -> Vec<u8> {
+    let mut text = request_head(id, task, deadline, &format!("Content-Length: {length}\r\n")).into_bytes();
+    text.resize(text.len() + length, b'x');
+    text
+}
+
+/// The answer to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// Status of the response.
+    pub status: u16,
+    /// Whether the body came to its proper end.
+    pub is_whole: bool,
+    /// Whether the connection can carry another request.
+    pub keeps_connection: bool,
+    /// When the head was complete.
+    pub head_at: Instant,
+}
+
+/// Reads an answer. `pause` is the time between two reads of the body, of `piece` bytes each. `None` is an end of the
+/// connection before the head.
+pub async fn read_answer(
+    stream: &mut TcpStream, limit: Duration, piece: usize, pause: Duration,
+) -> io::Result<Option<Answer>> {
+    let mut text = Vec::new();
+    let head = loop {
+        if let Some(end) = text.windows(4).position(|four| four == b"\r\n\r\n") {
+            break end + 4;
+        }
+        let read = timeout(limit, stream.read_buf(&mut text)).await.map_err(|_| io::ErrorKind::TimedOut)?;
+        if read? == 0 || text.len() > MAX_HEAD {
+            return Ok(None);
+        }
+    };
+    let head_at = Instant::now();
+    let fields = String::from_utf8_lossy(&text[..head]).to_lowercase();
+    let status = fields.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+    let length = fields.lines().find_map(|line| line.strip_prefix("content-length: ")?.parse().ok());
+    let is_chunked = fields.contains("transfer-encoding: chunked");
+    let keeps_connection = !fields.contains("connection: close") && (length.is_some() || is_chunked);
+    let mut body = text.split_off(head);
+    let mut received = body.len();
+    let mut buffer = vec![0; piece];
+    let is_whole = loop {
+        // The lab's servers end a body without chunks in it, so the last chunk cannot be mistaken.
+        let has_last_chunk = is_chunked && body.ends_with(b"0\r\n\r\n");
+        if length.is_some_and(|length: usize| received >= length) || has_last_chunk {
+            break true;
+        }
+        sleep(pause).await;
+        let read = timeout(limit, stream.read(&mut buffer)).await.map_err(|_| io::ErrorKind::TimedOut)?;
+        match read {
+            Ok(0) => break length.is_none() && !is_chunked,
+            Ok(count) => {
+                received += count;
+                let kept = body.len().saturating_sub(8);
+                body.drain(..kept);
+                body.extend_from_slice(&buffer[..count]);
+            }
+            Err(_) => break false,
+        }
+    };
+    Ok(Some(Answer { status, is_whole, keeps_connection, head_at }))
+}
+
+/// Writes bytes and returns when the last one was accepted by the kernel; an error means that the node has answered or
+/// closed before.
+pub async fn write(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<Instant> {
+    stream.write_all(bytes).await?;
+    Ok(Instant::now())
+}
--- /dev/null
+++ b/crates/lab/src/peer_faults/pictures.rs
@@ -0,0 +1,99 @@
+//! Fixed scenarios: one for each way in which peers have harmed a node.
+
+use super::flood::Flood;
+use super::scenario::{Peers, Restart, RestartKind, Scenario};
+
+/// Names of the fixed scenarios.
+pub const PICTURES: [&str; 22] = [
+    "calm",
+    "stopped-uploads",
+    "piecewise-uploads",
+    "long-exchanges",
+    "long-stopped-uploads",
+    "unfinished-heads",
+    "heads-of-many-fields",
+    "slow-readers",
+    "slow-short-readers",
+    "empty-lines",
+    "byte-pairs",
+    "invalid-heads",
+    "unknown-paths",
+    "probes",
+    "new-names",
+    "unread-answers",
+    "slow-server-answers",
+    "slow-server-reads",
+    "leavers",
+    "returning-ids",
+    "upgrade-beside-stopped-uploads",
+    "upgrade-beside-leavers",
+];
+
+/// Clients in a crowd: as many as have a slot with 1,024 descriptors.
+const CROWD: usize = 340;
+/// Connections that flood at once.
+const FLOODERS: usize = 3;
+/// Busy processes beside the node where its share of a core matters.
+const BUSY_PROCESSES: usize = 9;
+const SECONDS: f64 = 6.0;
+
+/// Returns the scenario of this name.
+pub fn picture(name: &str) -> Option<Scenario> {
+    let calm = Scenario::new(SECONDS);
+    let crowd = |peers| Scenario { peers: vec![(peers, CROWD)], ..calm.clone() };
+    let flood = |kind| Scenario {
+        peers: vec![(Peers::Flood(kind), FLOODERS)],
+        busy_processes: Some(BUSY_PROCESSES),
+        sockets: 384,
+        ..calm.clone()
+    };
+    let few =
+        |peers: &[Peers]| Scenario { peers: peers.iter().map(|peers| (*peers, 2)).collect(), ..calm.clone() };
+    let upgraded = |scenario: Scenario| Scenario {
+        restarts: vec![Restart { at: 3.0, kind: RestartKind::Upgrade, signals: 2 }],
+        seconds: 8.0,
+        ..scenario
+    };
+    let leavers = Peers::Leaver { requests: 40, resets: false, returns: false };
+    let stopped = Peers::StoppedUpload { length: 63_000, sent: 62_000 };
+    let scenario = match name {
+        "calm" => calm.clone(),
+        "stopped-uploads" => crowd(stopped),
+        "piecewise-uploads" => crowd(Peers::PiecewiseUpload { length: 63_000, piece: 1_000, over_ms: 1_100 }),
+        "long-exchanges" => crowd(Peers::LongExchange { length: 63_000, answer: 60_000 }),
+        "long-stopped-uploads" => crowd(Peers::StoppedUpload { length: 3_000_000, sent: 1_500_000 }),
+        "unfinished-heads" => crowd(Peers::ManyFields { fields: 3_800, is_whole: false }),
+        "heads-of-many-fields" => crowd(Peers::ManyFields { fields: 90, is_whole: true }),
+        "slow-readers" => crowd(Peers::SlowReader { answer: 3_000_000, rate: 10_000 }),
+        "slow-short-readers" => crowd(Peers::SlowReader { answer: 60_000, rate: 10_000 }),
+        "empty-lines" => flood(Flood::EmptyLines),
+        "byte-pairs" => flood(Flood::BytePairs),
+        "invalid-heads" => flood(Flood::InvalidHeads),
+        "unknown-paths" => flood(Flood::UnknownPaths),
+        "probes" => flood(Flood::Probes),
+        "new-names" => flood(Flood::NewNames),
+        "unread-answers" => flood(Flood::UnreadAnswers),
+        "slow-server-answers" => few(&[true, false].map(|has_length| Peers::SlowServerWrite {
+            answer: 120_000,
+            over_ms: 3_000,
+            has_length,
+        })),
+        "slow-server-reads" => few(&[
+            Peers::SlowServerRead { length: 63_000, is_chunked: false, rate: 100_000 },
+            Peers::SlowServerRead { length: 400_000, is_chunked: false, rate: 100_000 },
+            Peers::SlowServerRead { length: 400_000, is_chunked: true, rate: 100_000 },
+            Peers::SlowServerRead { length: 400_000, is_chunked: false, rate: 400_000 },
+            Peers::SlowServerRead { length: 400_000, is_chunked: true, rate: 400_000 },
+            Peers::SlowServerRead { length: 3_000_000, is_chunked: false, rate: 1_000_000 },
+        ]),
+        "leavers" => few(&[leavers, Peers::Leaver { requests: 40, resets: true, returns: false }]),
+        "returning-ids" => few(&[
+            Peers::Leaver { requests: 1, resets: false, returns: true },
+            Peers::Leaver { requests: 1, resets: true, returns: true },
+        ]),
+        "upgrade-beside-stopped-uploads" => upgraded(crowd(stopped)),
+        "upgrade-beside-leavers" => upgraded(few(&[leavers])),
+        _ => return None,
+    };
+    Some(scenario)
+}
