Discard the bytes of a refused client in bounded rounds

Cause: read_until_closed, which reads on after the last response so that a close does not reset it, looped over readable() and try_read(). Neither gives way to other tasks as long as bytes are there, and the limit of 1 s around it is looked at only when they do. One connection so held the event loop for as long as its client was faster than the node.

Change: a round discards at most 128 KiB, then 5 ms pass; the rest waits in the kernel and holds the client back. The buffer no longer lies in the task of each connection. The accept loop gives way after each connection.

--- /dev/null
+++ b/crates/lab/tests/peer_faults.rs
@@ -0,0 +1,22 @@
+//! Plays misbehaving peers beside well-behaved clients against processes of one node.
+
+use merlinfold_lab::peer_faults::{picture, run, Outcome};
+use merlinfold_lab::process::NodeCommand;
+
+/// Requests of the well-behaved clients that are answered otherwise than served, at most one in this many.
+const REFUSED_DIVISOR: usize = 10;
+
+fn play(name: &str) -> Outcome {
+    let words = vec![env!("CARGO_BIN_EXE_merlinfold-lab").to_owned(), "node".to_owned()];
+    let scenario = picture(name).expect("a fixed scenario");
+    let outcome = run(&scenario, &NodeCommand { words }).expect("the lab can run it");
+    assert!(outcome.violations.is_empty(), "{name}: {:#?}\n{}", outcome.violations, outcome.log);
+    outcome
+}
+
+/// Guards other clients against a peer whose empty lines the node reads without an end after it has refused them.
+#[test]
+fn empty_lines_at_full_speed_leave_other_clients_served() {
+    let waits = play("empty-lines").waits;
+    assert!(waits.refused * REFUSED_DIVISOR < waits.served, "{waits:?}");
+}
--- a/crates/node/src/front/accept.rs
+++ b/crates/node/src/front/accept.rs
@@ -6,6 +6,11 @@
 /// resets the connection, and the client could lose the end of a response.
 const LINGER: Duration = Duration::from_secs(1);
 const LINGER_WHEN_FULL: Duration = Duration::from_millis(100); // the same while other clients wait for a slot
+/// Time between two rounds of discarding what a client sends after its last response.
+const DISCARD_INTERVAL: Duration = Duration::from_millis(5);
+/// Reads of one round: enough for a long upload to get to its response within [`LINGER`], and a small part of a turn.
+const DISCARD_READS: usize = 8;
+const DISCARD_BYTES: usize = 16 << 10;
 /// Delay after a failed accept, which keeps a repeated error from spinning.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -23,7 +28,10 @@
         }
         let slot = self.capacity.clients.acquire().await;
         match listener.accept().await {
-            Ok((stream, _)) => self.spawn_connection(stream, slot, close_requested),
+            Ok((stream, _)) => {
+                self.spawn_connection(stream, slot, close_requested);
+                yield_now().await; // a burst of connections takes turns with those already open
+            }
             Err(error) => {
                 warn!(%error, "accept failed; retrying"); // out of descriptors, or the client has already left
                 sleep(ACCEPT_RETRY_DELAY).await;
@@ -101,14 +109,27 @@
     }
 }
 
-/// Reads and discards what the client still sends, until it closes the connection.
+/// Reads and discards what the client still sends, until it closes the connection. Between two rounds the rest waits in
+/// the kernel, so that a client that sends at full speed is held back by its own connection.
 async fn read_until_closed(stream: &TcpStream) {
-    let mut buffer = [0; 4096];
     while stream.readable().await.is_ok() {
+        if discard_input(stream).is_break() {
+            return;
+        }
+        sleep(DISCARD_INTERVAL).await;
+    }
+}
+
+/// Discards what has arrived, at most [`DISCARD_READS`] times [`DISCARD_BYTES`]. Breaks at the end of the connection.
+fn discard_input(stream: &TcpStream) -> ControlFlow<()> {
+    let mut buffer = [0; DISCARD_BYTES];
+    for _ in 0..DISCARD_READS {
         match stream.try_read(&mut buffer) {
-            Ok(0) => return,
-            Err(error) if !is_transient(&error) => return,
-            _ => {}
+            Ok(0) => return ControlFlow::Break(()),
+            Ok(_) => {}
+            Err(error) if is_transient(&error) => return ControlFlow::Continue(()),
+            Err(_) => return ControlFlow::Break(()),
         }
     }
+    ControlFlow::Continue(())
 }
