Bound what one connection costs between two turns: checks, small pieces, invalid heads

Callers: beside a flood of readiness checks, pairs of bytes or invalid heads others waited up to 611 ms of their 600, on a core shared with nine busy processes, where the node had no pause to give the core up in.

Cause: hyper answers up to 16 pipelined messages a turn and reads a head as fast as its pieces come, so three connections kept the process runnable for good and it got its turns at the scheduler's pleasure.

Change: a second readiness check on a connection is answered 5 ms after the one before; a head that comes in more than eight reads is read every 2 ms, in which its pieces join; behind an invalid message 16 KiB instead of 128 are discarded a round.

--- a/crates/node/src/connection_timeouts.rs
+++ b/crates/node/src/connection_timeouts.rs
@@ -121,6 +121,11 @@
         self.head_started_at.load(Ordering::Relaxed) > 0
     }
 
+    /// Returns whether bytes of a head have been received that is not complete yet.
+    pub fn is_receiving_head(&self) -> bool {
+        self.has_partial_request() && !self.request_active.load(Ordering::Relaxed)
+    }
+
     /// Records that the response has been handed to the connection in full, or was abandoned.
     pub fn response_ended(&self, now: Nanos) {
         self.response_ended_at.store(now, Ordering::Relaxed);
--- a/crates/node/src/front/accept.rs
+++ b/crates/node/src/front/accept.rs
@@ -10,6 +10,8 @@
 const DISCARD_INTERVAL: Duration = Duration::from_millis(5);
 /// Reads of one round: enough for a long upload to get to its response within [`LINGER`], and a small part of a turn.
 const DISCARD_READS: usize = 8;
+/// The same after an invalid message, behind which no upload is expected.
+const DISCARD_READS_WHEN_MALFORMED: usize = 1;
 const DISCARD_BYTES: usize = 16 << 10;
 /// Delay after a failed accept, which keeps a repeated error from spinning.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -61,8 +63,12 @@
                 return;
             }
             let _ = SockRef::from(&*stream).shutdown(Shutdown::Write); // an error means that it has already ended
+            let reads = match end {
+                ConnectionEnd::Malformed => DISCARD_READS_WHEN_MALFORMED,
+                ConnectionEnd::Orderly | ConnectionEnd::Cut => DISCARD_READS,
+            };
             let linger = if front.capacity.clients.free() == 0 { LINGER_WHEN_FULL } else { LINGER };
-            let _ = timeout(linger, read_until_closed(&stream)).await;
+            let _ = timeout(linger, read_until_closed(&stream, reads)).await;
             drop(slot);
         });
     }
@@ -111,19 +117,19 @@
 
 /// Reads and discards what the client still sends, until it closes the connection. Between two rounds the rest waits in
 /// the kernel, so that a client that sends at full speed is held back by its own connection.
-async fn read_until_closed(stream: &TcpStream) {
+async fn read_until_closed(stream: &TcpStream, reads: usize) {
     while stream.readable().await.is_ok() {
-        if discard_input(stream).is_break() {
+        if discard_input(stream, reads).is_break() {
             return;
         }
         sleep(DISCARD_INTERVAL).await;
     }
 }
 
-/// Discards what has arrived, at most [`DISCARD_READS`] times [`DISCARD_BYTES`]. Breaks at the end of the connection.
-fn discard_input(stream: &TcpStream) -> ControlFlow<()> {
+/// Discards what has arrived, at most `reads` times [`DISCARD_BYTES`]. Breaks at the end of the connection.
+fn discard_input(stream: &TcpStream, reads: usize) -> ControlFlow<()> {
     let mut buffer = [0; DISCARD_BYTES];
-    for _ in 0..DISCARD_READS {
+    for _ in 0..reads {
         match stream.try_read(&mut buffer) {
             Ok(0) => return ControlFlow::Break(()),
             Ok(_) => {}
--- a/crates/node/src/front/connection.rs
+++ b/crates/node/src/front/connection.rs
@@ -18,6 +18,8 @@
     Orderly,
     /// In the middle of a message, perhaps of a response.
     Cut,
+    /// After an invalid message.
+    Malformed,
 }
 
 impl Front {
@@ -129,7 +131,7 @@
         match result {
             Err(error) if error.is_parse() || error.is_incomplete_message() => {
                 increment(&self.stats.malformed);
-                ConnectionEnd::Orderly
+                ConnectionEnd::Malformed
             }
             Err(error) if error.is_user() => ConnectionEnd::Cut, // the body of a response failed
             _ => ConnectionEnd::Orderly,
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -68,6 +68,8 @@
 const MIN_BODY_RATE: f64 = 48_000.0;
 /// Time in which the task of an accepted connection is certain to have run once.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two readiness checks on one connection, which cost the client less than the node.
+const READINESS_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 const REPORT_INTERVAL: Duration = Duration::from_secs(5); // between log lines on client connections
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -229,6 +231,9 @@
                 *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             }
             timeouts.request_read();
+            if first_request_since.is_none() {
+                sleep(READINESS_CHECK_INTERVAL).await;
+            }
             return Ok(response);
         }
         let request_head = RequestHead::read(&head.uri, &head.headers);
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -1,16 +1,18 @@
 //! A TCP stream that can be inspected while hyper owns it, and a stream that reports its traffic.
 
+use std::future::Future;
 use std::io::{self, IoSlice};
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 
 use merlinfold_decide::interface::Nanos;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::Instant;
+use tokio::time::{sleep, Instant, Sleep};
 
 use crate::connection_timeouts::ConnectionTimeouts;
 
@@ -18,6 +20,11 @@
 /// told from one that does not read.
 const MAX_UNSENT_BYTES: u32 = 64 << 10;
 
+/// Reads of one request head without a pause between them.
+const MAX_PROMPT_HEAD_READS: u32 = 8;
+/// Pause before each further read of that head.
+const HEAD_READ_PAUSE: Duration = Duration::from_millis(2);
+
 /// Limits the bytes that the kernel accepts for a connection without sending them, to [`MAX_UNSENT_BYTES`].
 pub fn limit_unsent_bytes(stream: &TcpStream) {
     // Without the limit, room on the connection is only noticed later.
@@ -90,17 +97,20 @@
     }
 }
 
-/// A stream that reports its reads and writes to the [`ConnectionTimeouts`] of its connection.
+/// A stream that reports its reads and writes to the [`ConnectionTimeouts`] of its connection. A request head that comes
+/// in many small pieces is read with pauses, in which the pieces join.
 pub struct MonitoredStream<S> {
     stream: S,
     timeouts: Arc<ConnectionTimeouts>,
     accepted_at: Instant,
+    head_reads: u32, // of the head that is being received
+    pause: Option<Pin<Box<Sleep>>>,
 }
 
 impl<S> MonitoredStream<S> {
     /// `accepted_at` is when the connection was accepted; reported times are relative to it.
     pub fn new(stream: S, timeouts: Arc<ConnectionTimeouts>, accepted_at: Instant) -> Self {
-        MonitoredStream { stream, timeouts, accepted_at }
+        MonitoredStream { stream, timeouts, accepted_at, head_reads: 0, pause: None }
     }
 
     fn now(&self) -> Nanos {
@@ -116,14 +126,33 @@
     }
 }
 
+impl<S> MonitoredStream<S> {
+    /// Counts a read, and sets the pause before the next one.
+    fn count_read(&mut self) {
+        if !self.timeouts.is_receiving_head() {
+            self.head_reads = 0;
+            return;
+        }
+        self.head_reads += 1;
+        if self.head_reads >= MAX_PROMPT_HEAD_READS {
+            self.pause = Some(Box::pin(sleep(HEAD_READ_PAUSE)));
+        }
+    }
+}
+
 impl<S: AsyncRead + Unpin> AsyncRead for MonitoredStream<S> {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buffer: &mut ReadBuf) -> Poll<io::Result<()>> {
+        if let Some(pause) = &mut self.pause {
+            ready!(pause.as_mut().poll(cx));
+            self.pause = None;
+        }
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
         let count = buffer.filled().len() - before;
         if count > 0 {
             self.timeouts.bytes_received(self.now());
             self.timeouts.bytes_transferred(count);
+            self.count_read();
         }
         read
     }
