Leave the socket of a client to its connection, so that its slot and its descriptor end together

Attempts outlive a client that has left, so its descriptor stayed open while its slot was free again.

Change: a request refers to the socket weakly; where it is gone, the client has left.

Evidence: two_loaded_processes_stay_within_the_socket_limit_of_one failed with 225 to 227 of 192 descriptors and passes.

--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -280,7 +280,7 @@
         let is_head = head.method == Method::HEAD;
         let path = head.uri.path_and_query().cloned().map_or_else(Uri::default, Uri::from);
         let upstream_request = UpstreamRequest::new(head.method, path, head.headers, body)
-            .from_client(active_request.client_socket.clone());
+            .from_client(active_request.client_socket.as_ref());
         let upstream_request = Arc::new(upstream_request);
         let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
         let (client, reply) = oneshot::channel();
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
--- a/crates/node/src/upstream/request.rs
+++ b/crates/node/src/upstream/request.rs
@@ -11,8 +11,9 @@
     /// Cancelled when the client has left or has its response: attempts not yet written must not be sent. Whoever
     /// notices first cancels it, so that no queue delays the effect on an attempt that is about to begin.
     pub cancellation: CancellationToken,
-    /// The socket of the client, on which a disconnect shows; `None` if it has none.
-    client_socket: Option<Arc<TcpStream>>,
+    /// The socket of the client, on which a disconnect shows; `None` if it has none. Its connection owns it, and frees
+    /// its slot when it ends.
+    client_socket: Option<Weak<TcpStream>>,
 }
 
 /// The body of a client request.
@@ -61,15 +62,19 @@
     }
 
     /// Sets the socket on which the request came.
-    pub fn from_client(self, client_socket: Option<Arc<TcpStream>>) -> Self {
-        UpstreamRequest { client_socket, ..self }
+    pub fn from_client(self, client_socket: Option<&Arc<TcpStream>>) -> Self {
+        UpstreamRequest { client_socket: client_socket.map(Arc::downgrade), ..self }
     }
 
     /// Cancels the request if its client has disconnected, as of the last events of the runtime.
     pub(super) async fn cancel_if_client_left(&self) {
         let Some(client_socket) = &self.client_socket else { return };
         yield_now().await; // the runtime polls for events before this task goes on
-        if has_disconnected(client_socket).await {
+        let has_left = match client_socket.upgrade() {
+            Some(client_socket) => has_disconnected(&client_socket).await,
+            None => true,
+        };
+        if has_left {
             self.cancellation.cancel();
         }
     }
