Run a request that must not run twice once, also at the two processes of an upgrade

Callers: an id that came again after its client had left ran a second time, at the same process or at the other process of an upgrade.

Cause: nothing remembered the ids of requests. Each connection's request was taken for a new one.

Change: the driver claims the id of a request whose class must not run twice, for 30 s and at most 16,384 ids, and gives the claim up if the request certainly never ran. A second request with a claimed id is answered with 502 and logged. While another process of the node runs, each appends its claims to a file of its own in the shared folder before the request can run, and reads the other's; the first process writes what it knows before it tells its successor to take clients.

Tests: the fixtures gave every request of a test one id, which the protocol forbids; they draw a fresh one now, and all assertions stand. a_server_that_stops_reading_a_long_request_ends_the_attempt_in_time let its client leave when the request was pending; an attempt no longer begins for it then, so it waits for the attempt first.

--- a/crates/cli/tests/bodies.rs
+++ b/crates/cli/tests/bodies.rs
@@ -41,7 +41,8 @@
 }
 
 fn get(class: &str) -> String {
-    format!("GET /{class} HTTP/1.1\r\nHost: x\r\nX-Lane: {class}\r\nX-Txn: 9b1f03aa5c7e2d41\r\n\r\n")
+    let id = new_transaction_id();
+    format!("GET /{class} HTTP/1.1\r\nHost: x\r\nX-Lane: {class}\r\nX-Txn: {id}\r\n\r\n")
 }
 
 /// Decodes a chunked body. Returns `None` if it is incomplete.
@@ -349,13 +350,15 @@
 fn a_server_that_stops_reading_a_long_request_ends_the_attempt_in_time() {
     const FAR_BEYOND_BUFFERS: usize = 48 << 20;
     let (closed, closes) = mpsc::sync_channel::<()>(10);
+    let (begun, attempts) = mpsc::sync_channel::<()>(10);
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let node = node_in_front_of(listener.local_addr().unwrap());
     thread::spawn(move || {
         for stream in listener.incoming() {
-            let (mut stream, closed) = (stream.unwrap(), closed.clone());
+            let (mut stream, closed, begun) = (stream.unwrap(), closed.clone(), begun.clone());
             thread::spawn(move || {
                 let head = read_head(&mut stream);
+                begun.send(()).unwrap();
                 if head.contains("part") {
                     stream.read_exact(&mut vec![0; LONG]).unwrap();
                 }
@@ -390,8 +393,8 @@
             let _ = body_sender.write_all(start.as_bytes());
             let _ = body_sender.write_all(&pattern(FAR_BEYOND_BUFFERS));
         });
+        attempts.recv_timeout(TIMEOUT).expect("an attempt");
         if what.contains("leaves") {
-            node.wait_for("pending", 1);
             stream.shutdown(Shutdown::Both).unwrap();
         } else {
             let answer = Client::on(stream.try_clone().unwrap()).read().expect("an answer");
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -4,6 +4,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{mpsc, Arc, Condvar, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -347,10 +348,20 @@
     format!("{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}", body.len())
 }
 
+/// Returns a transaction id that no other request of the test has.
+pub fn new_transaction_id() -> String {
+    static NEXT: AtomicU64 = AtomicU64::new(0x9b1f_03aa_5c7e_2d41);
+    format!("{:016x}", NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
 pub fn request(class: &str, headers: &str, body: &str) -> String {
+    request_with_id(&new_transaction_id(), class, headers, body)
+}
+
+pub fn request_with_id(id: &str, class: &str, headers: &str, body: &str) -> String {
     let length = body.len();
     format!(
         "POST /{class}?sid=7f3a HTTP/1.1\r\nHost: service.internal\r\nX-Lane: {class}\r\n\
-         X-Txn: 9b1f03aa5c7e2d41\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
+         X-Txn: {id}\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
     )
 }
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -22,7 +22,8 @@
     let node = RunningNode::in_front_of(&[("s", server.address)]);
     let mut client = node.client();
     let extra = "Idempotency-Key: 5c0f\r\nConnection: keep-alive, X-Hop, X-Txn\r\nX-Hop: 1\r\nX-Remaining-Ms: 900\r\n";
-    client.write(&request("read", extra, "a\0b"));
+    let id = new_transaction_id();
+    client.write(&request_with_id(&id, "read", extra, "a\0b"));
     let answer = client.read().unwrap();
     assert_eq!((answer.status(), answer.body.as_slice()), (200, b"p\0ng".as_slice()));
     assert_eq!(answer.header("content-type"), Some("text/odd"));
@@ -31,7 +32,7 @@
         (seen.start_line.as_str(), seen.body.as_slice()),
         ("POST /read?sid=7f3a HTTP/1.1", b"a\0b".as_slice())
     );
-    assert_eq!(seen.header("x-txn"), Some("9b1f03aa5c7e2d41"));
+    assert_eq!(seen.header("x-txn"), Some(id.as_str()));
     assert_eq!(seen.header("idempotency-key"), Some("5c0f"));
     assert_eq!(seen.header("x-hop"), None, "a hop-by-hop header was forwarded");
     let left: u64 = seen.header("x-remaining-ms").unwrap().parse().unwrap();
@@ -234,10 +235,11 @@
 fn invalid_requests_get_an_error_status_and_the_node_goes_on() {
     let server = Server::start(|_| ok());
     let node = RunningNode::in_front_of(&[("s", server.address)]);
-    let good = request("read", "", "x");
+    let id = new_transaction_id();
+    let good = request_with_id(&id, "read", "", "x");
     let cases = [
-        (good.replace("X-Txn: 9b1f03aa5c7e2d41\r\n", ""), 400),
-        (good.replace("9b1f03aa5c7e2d41", "9B1F"), 400),
+        (good.replace(&format!("X-Txn: {id}\r\n"), ""), 400),
+        (good.replace(&id, "9B1F"), 400),
         (request("nothing", "", ""), 404),
         (request("read", "", &"x".repeat((64 << 10) + 1)), 200),
         ("NONSENSE\r\n\r\n".to_owned(), 400),
--- a/crates/lab/tests/peer_faults.rs
+++ b/crates/lab/tests/peer_faults.rs
@@ -26,3 +26,15 @@
 fn no_attempt_begins_after_its_client_has_left_beside_an_upgrade() {
     play("upgrade-beside-leavers");
 }
+
+/// Guards against repeated side effects: an id came again after its client had left.
+#[test]
+fn an_id_that_comes_again_after_its_client_left_runs_once() {
+    play("returning-ids");
+}
+
+/// The same, where the id may come to the other process of an upgrade.
+#[test]
+fn an_id_that_comes_again_at_the_other_process_of_an_upgrade_runs_once() {
+    play("upgrade-beside-returning-ids");
+}
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -20,6 +20,7 @@
 use crate::metrics::{self, Metrics, RequestEnd, Totals};
 use crate::peers::Peers;
 use crate::server_list::{Endpoint, ServerList};
+use crate::shared_claims::SharedClaims;
 use crate::start_times::StartTimes;
 use crate::upstream::{
     Attempt, AttemptOutcome, Connection, Pool, Server, ServerResponseBody, UpstreamRequest,
@@ -29,14 +30,17 @@
 use merlinfold_fleet::Snapshot;
 use merlinfold_settings::{HostLimits, NameTables, NamedServer};
 
+mod claims;
 mod configuration;
 mod lists;
 mod orders;
 mod pending_request;
+mod recent_requests;
 mod requests;
 mod stats;
 
 use pending_request::{AttemptRecord, PendingRequest};
+use recent_requests::RecentRequests;
 use stats::{AttemptStats, ListStatus, StreamedBodies};
 
 /// Time before the client's deadline by which the module must decide, so that the response can still arrive.
@@ -83,6 +87,9 @@
     in_force: Arc<ActiveDocument>, // revision of the versioned configuration
     servers: Vec<Arc<Server>>,     // by server id
     requests: HashMap<RequestId, PendingRequest>,
+    runs_once: Vec<bool>,   // by class: whether a request must not run more than once
+    recent: RecentRequests, // of the classes whose requests run once
+    shared_claims: Option<SharedClaims>, // while another process of this node runs
     schedule: BinaryHeap<Reverse<(Nanos, ScheduledTask)>>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -125,6 +132,9 @@
             in_force: Arc::default(),
             servers: Vec::new(),
             requests: HashMap::new(),
+            runs_once: Vec::new(),
+            recent: RecentRequests::default(),
+            shared_claims: None,
             schedule: BinaryHeap::from([
                 Reverse((clock.now() + POOL_SWEEP_INTERVAL, ScheduledTask::PoolSweep)),
                 Reverse((clock.now() + REPORT_INTERVAL, ScheduledTask::Report)),
@@ -157,6 +167,12 @@
         self.peers = peers.cloned();
     }
 
+    /// Records which classes have requests that must not run more than once.
+    pub fn set_classes(&mut self, classes: &[Class]) {
+        let runs_once = |class: &Class| class.idempotency == Idempotency::NonIdempotent;
+        self.runs_once = classes.iter().map(runs_once).collect();
+    }
+
     /// Records that the node belongs to a fleet, although no view of it exists yet.
     pub fn set_in_fleet(&mut self) {
         self.in_fleet = true;
--- a/crates/node/src/driver/orders.rs
+++ b/crates/node/src/driver/orders.rs
@@ -80,6 +80,7 @@
         let has_companion = shared.has_companion();
         if has_companion != had_companion {
             self.capacity.resize(has_companion);
+            self.share_claims(has_companion); // before the other process is told that it may take clients
         }
         if !std::mem::replace(&mut self.has_polled, true) {
             self.inherit_orders(has_companion);
--- a/crates/node/src/driver/pending_request.rs
+++ b/crates/node/src/driver/pending_request.rs
@@ -7,6 +7,8 @@
     pub(super) class: usize,
     pub(super) reply_sender: Option<oneshot::Sender<Reply>>, // `None` once answered or abandoned
     pub(super) request: Arc<UpstreamRequest>,
+    pub(super) claim: Option<u64>, // its transaction id, if it must not run more than once
+    pub(super) may_have_run: bool,
     pub(super) deadline: Nanos,
     pub(super) attempts: Vec<AttemptRecord>,
     pub(super) is_streaming: bool, // a streamed response is in progress
--- a/crates/node/src/driver/requests.rs
+++ b/crates/node/src/driver/requests.rs
@@ -1,5 +1,6 @@
 //! Handles requests and their attempts, from the arrival to the end of the last attempt.
 
+use super::claims::AlreadyClaimed;
 use super::*;
 
 impl Driver {
@@ -33,6 +34,8 @@
             class,
             reply_sender: Some(client),
             request: upstream_request,
+            claim: None,
+            may_have_run: false,
             deadline,
             attempts,
             is_streaming: false,
@@ -41,6 +44,18 @@
             pending.finish(Some(Reply::Refused { retry_after: 0 }), &mut self.metrics);
             return;
         }
+        match self.claim(class, &pending.request) {
+            Ok(claim) => pending.claim = claim,
+            Err(AlreadyClaimed) => {
+                info!(
+                    request = id.0,
+                    txn = pending.request.transaction_id(),
+                    "request failed: one with its id has come before and may have run"
+                );
+                pending.finish(Some(Reply::Failed), &mut self.metrics);
+                return;
+            }
+        }
         self.requests.insert(id, pending);
         if !is_streamed {
             // The deadline of a streamed request counts from its last byte, and its attempt enforces it.
@@ -69,6 +84,7 @@
             return; // it was cancelled meanwhile and its outcome is reported
         }
         let (server, sent) = (record.server, record.started);
+        pending.may_have_run |= !outcome.status.never_ran();
         if let Some(mut response) = outcome.response {
             if let ServerResponseBody::Streamed(relay) = &mut response.body {
                 let inputs = self.inputs.clone();
@@ -116,7 +132,9 @@
     /// Forgets a request that is answered and has no attempt left.
     pub(super) fn remove_if_finished(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(PendingRequest::is_finished) {
-            self.requests.remove(&id);
+            if let Some(pending) = self.requests.remove(&id) {
+                self.release_claim(&pending);
+            }
         }
     }
 
@@ -201,6 +219,7 @@
         let Some(task) = record.task.take() else { return };
         debug!(request = id.0, attempt, "attempt cancelled");
         task.abort();
+        pending.may_have_run = true;
         let (server, latency, terminal) =
             (record.server, now - record.started, pending.reply_sender.is_none());
         let status = Status::Cancelled;
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -13,6 +13,7 @@
 use tracing::{info, warn};
 
 use crate::capacity::Allocation;
+use crate::shared_claims::SharedClaims;
 
 const FORMAT: &str = "merlinfold-orders";
 const VERSION: u32 = 1;
@@ -189,6 +190,11 @@
         Ok(())
     }
 
+    /// Begins to share the ids of requests with the other process. Fails if they cannot be written.
+    pub fn share_claims(&self, known: &[u64]) -> io::Result<SharedClaims> {
+        SharedClaims::begin(&self.usage_path, self.is_first(), known)
+    }
+
     /// Whether this process is one of the two that a node may have.
     pub fn has_slot(&self) -> bool {
         self.is_first() || self.second.locked.is_some()
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod process;
 pub mod request_head;
 pub mod server_list;
+mod shared_claims;
 mod start_times;
 mod stream;
 mod upstream;
@@ -174,6 +175,7 @@
             driver::Driver::new(balancer, names.clone(), clock, host, capacity.clone(), sender.clone());
         let front = front::Front::new(&settings, &names, clock, sender, capacity, driver.posture());
         driver.set_peers(peers.as_ref());
+        driver.set_classes(&settings.classes);
         // This comes before the list, so that no request goes to a server that is out, or is accepted in standby.
         if let Some(folder) = folder {
             driver.share_state(handover::Handover::new(folder, &config.name));
