Keep all that peers make a process hold within its memory, and have those that move nothing give way

Cause: connections were bounded by descriptors alone and bodies by a quarter of memory, and nothing bounded the sum. A body without memory was streamed, which costs the buffers of two connections; the reservation of an answer ended while its bytes still waited in the library; a body's buffer doubled beside its reservation; heads, tasks and bodies of 8 KB counted nowhere. During an upgrade the successor came on top of all that.

Change: the allocator counts what is allocated (crate cap), and the process asks before each step that holds more: to keep idle connections to servers, take in a body, send or handle a request, accept a connection, refused in that order. The numbers of clients and of bodies follow from the heap. A body of up to 64 KiB waits unread for its reservation, which lasts as long as its bytes; a longer one reserves the buffers of its stream; a long answer waits at its server. Where a slot or memory is short, connections that moved nothing for 0.2 s give way (0.05 s at a stop): between requests by a close, in a body by a 503. A process leaves 7 MB to the start of a successor, and tells it how much it holds. New line 'memory' in the log.

Memory of an upgrade at 48 MB and more was not measured.

--- a/crates/lab/src/peer_faults/ledger.rs
+++ b/crates/lab/src/peer_faults/ledger.rs
@@ -13,8 +13,8 @@
 const MAX_LISTED: usize = 8;
 
 /// Requests by transaction id.
-#[derive(Default)]
 pub struct Ledger {
+    started: Instant,
     requests: Mutex<HashMap<u64, Record>>,
     reported: Mutex<Vec<String>>,
     kills: Mutex<Vec<Instant>>,
@@ -28,6 +28,18 @@
     left: Option<Instant>,
 }
 
+impl Default for Ledger {
+    fn default() -> Self {
+        Ledger {
+            started: Instant::now(),
+            requests: Mutex::default(),
+            reported: Mutex::default(),
+            kills: Mutex::default(),
+            next: AtomicU64::default(),
+        }
+    }
+}
+
 impl Ledger {
     /// Returns a fresh transaction id.
     pub fn new_id(&self) -> u64 {
@@ -55,6 +67,7 @@
 
     /// Records a violation that a client has seen by itself.
     pub fn report(&self, violation: String) {
+        let violation = format!("{violation}, {:.3} s after the start", self.started.elapsed().as_secs_f64());
         self.reported.lock().unwrap_or_else(PoisonError::into_inner).push(violation);
     }
 
--- a/crates/lab/tests/peer_faults.rs
+++ b/crates/lab/tests/peer_faults.rs
@@ -38,3 +38,39 @@
 fn an_id_that_comes_again_at_the_other_process_of_an_upgrade_runs_once() {
     play("upgrade-beside-returning-ids");
 }
+
+/// Guards the memory limit against hundreds of clients that stop in the middle of a request.
+#[test]
+fn hundreds_of_clients_that_stop_in_the_middle_of_a_request_leave_the_node_within_its_memory() {
+    play("stopped-uploads");
+}
+
+/// The same with bodies that come in pieces.
+#[test]
+fn hundreds_of_clients_that_write_slowly_leave_the_node_within_its_memory() {
+    play("piecewise-uploads");
+}
+
+/// The same with bodies in both directions.
+#[test]
+fn hundreds_of_long_exchanges_leave_the_node_within_its_memory() {
+    play("long-exchanges");
+}
+
+/// The same with heads of very many short fields.
+#[test]
+fn hundreds_of_heads_of_many_fields_leave_the_node_within_its_memory() {
+    play("heads-of-many-fields");
+}
+
+/// The same with answers that are read slowly.
+#[test]
+fn hundreds_of_slow_readers_leave_the_node_within_its_memory() {
+    play("slow-readers");
+}
+
+/// Guards the memory limit of both processes together, and clients that wait for the one that ends.
+#[test]
+fn an_upgrade_beside_hundreds_of_stopped_requests_stays_within_the_memory_of_one_node() {
+    play("upgrade-beside-stopped-uploads");
+}
--- a/crates/node/src/body/upload.rs
+++ b/crates/node/src/body/upload.rs
@@ -36,6 +36,7 @@
     completed_at: AtomicU64,   // when the last byte was handed to a connection; 0: not yet
     completion: Notify,
     clock: Clock,
+    _stream_memory: BufferReservation,
 }
 
 struct UploadState {
@@ -45,8 +46,8 @@
 }
 
 impl Upload {
-    /// Creates an upload from the prefix that was read and the rest of the body.
-    pub fn new(prefix: BodyPrefix, rest: Incoming, clock: Clock) -> Self {
+    /// Creates an upload from the prefix that was read, the rest of the body, and the memory for streaming it.
+    pub fn new(prefix: BodyPrefix, rest: Incoming, stream_memory: BufferReservation, clock: Clock) -> Self {
         let length_hint = rest.size_hint().exact().map(|rest| rest + prefix.bytes.len() as u64);
         let BodyPrefix { bytes, reservation, .. } = prefix;
         Upload {
@@ -60,6 +61,7 @@
             completed_at: AtomicU64::new(0),
             completion: Notify::new(),
             clock,
+            _stream_memory: stream_memory,
         }
     }
 
--- a/crates/node/src/capacity.rs
+++ b/crates/node/src/capacity.rs
@@ -6,10 +6,19 @@
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+use crate::memory::{heap_limit, HeapUsage, Memory};
+
 /// Maximum number of concurrent console connections.
 pub const MAX_CONSOLE_CONNECTIONS: usize = 16;
 const CLIENT_DESCRIPTORS_DIVISOR: usize = 3; // clients may use a third of the descriptors
-const BODY_MEMORY_DIVISOR: usize = 4; // buffered bodies may use a quarter of the memory
+const BODY_MEMORY_DIVISOR: usize = 4; // bodies never use more than a quarter of the memory
+/// Parts of the heap, in percent, for the connections of clients and for bodies. The rest is for connections to servers,
+/// heads, attempts and what the process keeps of its own.
+const CLIENT_HEAP_PERCENT: usize = 45;
+const BODY_HEAP_PERCENT: usize = 20;
+/// Heap of a client's connection on which a request is being received: its buffers, its tasks and an ordinary head.
+const CLIENT_BYTES: usize = 27 << 10;
+const MIN_CLIENTS: usize = 32; // fewer would keep a node from serving at all
 /// Descriptors that a successor opens before its predecessor has released any: log, state, discovery, one console
 /// connection.
 const SUCCESSOR_STARTUP_DESCRIPTORS: usize = 16;
@@ -34,7 +43,10 @@
     /// Computes the allocation of a process from the limits on descriptors and bytes of memory. `has_companion`
     /// halves it for a process that runs beside another process of the node.
     pub fn new(sockets: usize, memory: usize, has_companion: bool) -> Self {
-        let clients = sockets / CLIENT_DESCRIPTORS_DIVISOR;
+        let heap = heap_limit(memory);
+        let clients_in_heap = heap / 100 * CLIENT_HEAP_PERCENT / CLIENT_BYTES;
+        let clients = (sockets / CLIENT_DESCRIPTORS_DIVISOR).min(clients_in_heap.max(MIN_CLIENTS));
+        let bodies = (memory / BODY_MEMORY_DIVISOR).min(heap / 100 * BODY_HEAP_PERCENT);
         let left = sockets.saturating_sub(clients + RESERVED_DESCRIPTORS);
         let servers = left
             .saturating_sub(SUCCESSOR_STARTUP_DESCRIPTORS)
@@ -42,7 +54,7 @@
         let full = Allocation {
             clients,
             servers: servers.max(MIN_SERVER_CONNECTIONS),
-            bodies: (memory / BODY_MEMORY_DIVISOR / BODY_UNIT_BYTES).min(Semaphore::MAX_PERMITS),
+            bodies: (bodies / BODY_UNIT_BYTES).min(Semaphore::MAX_PERMITS),
         };
         if !has_companion {
             return full;
@@ -85,6 +97,23 @@
     free: Arc<Semaphore>,
     total: AtomicUsize,
     target: AtomicUsize,
+    waiting: AtomicUsize,
+}
+
+/// Counts a caller that waits, until it is dropped.
+struct Waiting<'a>(&'a AtomicUsize);
+
+impl<'a> Waiting<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Waiting(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Slots {
@@ -94,6 +123,7 @@
             free: Arc::new(Semaphore::new(total)),
             total: AtomicUsize::new(total),
             target: AtomicUsize::new(total),
+            waiting: AtomicUsize::new(0),
         })
     }
 
@@ -102,11 +132,23 @@
         self.free.clone().acquire_owned().await.expect("the semaphore is never closed")
     }
 
+    /// Waits for `count` free slots, or for all slots if there are fewer; first come first served.
+    pub async fn acquire_many(&self, count: u32) -> OwnedSemaphorePermit {
+        let count = count.min(self.total() as u32);
+        let _waiting = Waiting::new(&self.waiting);
+        self.free.clone().acquire_many_owned(count).await.expect("the semaphore is never closed")
+    }
+
     /// Acquires `count` slots at once, if they are free.
     pub fn try_acquire(&self, count: u32) -> Option<OwnedSemaphorePermit> {
         self.free.clone().try_acquire_many_owned(count).ok()
     }
 
+    /// Returns how many callers wait in [`Slots::acquire_many`].
+    pub fn waiting(&self) -> usize {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of free slots.
     pub fn free(&self) -> usize {
         self.free.available_permits()
@@ -152,6 +194,8 @@
     pub servers: Arc<Slots>,
     /// Memory for buffered bodies, in units of [`BODY_UNIT_BYTES`].
     pub bodies: Arc<Slots>,
+    /// All memory of the process.
+    pub process_memory: Arc<Memory>,
     sockets: usize,
     memory: usize,
 }
@@ -164,11 +208,17 @@
             clients: Slots::new(clients),
             servers: Slots::new(servers),
             bodies: Slots::new(bodies),
+            process_memory: Memory::new(memory, None),
             sockets,
             memory,
         }
     }
 
+    /// Limits all that the process allocates, as `usage` tells.
+    pub fn limit_heap(&mut self, usage: Option<HeapUsage>) {
+        self.process_memory = Memory::new(self.memory, usage);
+    }
+
     /// Halves the limits while another process runs beside this one, or restores them.
     pub fn resize(&self, has_companion: bool) {
         self.set(Allocation::new(self.sockets, self.memory, has_companion));
--- a/crates/node/src/connection_timeouts.rs
+++ b/crates/node/src/connection_timeouts.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use merlinfold_decide::interface::Nanos;
+use tokio::sync::Notify;
 
 /// Longest time without a request after the last response. The protocol allows a node to close after 2 s.
 const IDLE_TIMEOUT: Nanos = 2_100_000_000;
@@ -34,6 +35,8 @@
     Stalled,
     /// The node drains, and the exchange is too slow or too long to wait for its end.
     DrainLimit,
+    /// Others need its slot or its memory, and it has moved nothing for a while.
+    Evicted,
 }
 
 /// The state of one connection; times are nanoseconds since it was accepted.
@@ -49,6 +52,8 @@
     head_started_at: AtomicU64,   // first byte after the last request; 0: none yet
     drain_started_at: AtomicU64,  // 0: the node does not drain
     drained_bytes: AtomicU64,     // transferred in either direction since the start of the drain
+    evicted: AtomicBool,
+    eviction: Notify,
 }
 
 impl ConnectionTimeouts {
@@ -66,6 +71,8 @@
             head_started_at: AtomicU64::new(0),
             drain_started_at: AtomicU64::new(0),
             drained_bytes: AtomicU64::new(0),
+            evicted: AtomicBool::new(false),
+            eviction: Notify::new(),
         }
     }
 
@@ -132,6 +139,39 @@
         self.request_active.store(false, Ordering::Relaxed);
     }
 
+    /// Returns whether no request is in progress whose head is complete.
+    pub fn has_no_request(&self) -> bool {
+        !self.request_active.load(Ordering::Relaxed)
+    }
+
+    /// Returns how long the client has moved nothing, if the connection can give way to others: between two requests, or
+    /// while a request is being received. One that waits for its answer, or is reading it, cannot.
+    pub fn still_for(&self, now: Nanos) -> Option<Nanos> {
+        let load = |at: &AtomicU64| at.load(Ordering::Relaxed);
+        let is_served = self.request_active.load(Ordering::Relaxed) && !self.has_partial_request();
+        if is_served || self.write_blocked.load(Ordering::Relaxed) || self.evicted.load(Ordering::Relaxed) {
+            return None;
+        }
+        Some(now.saturating_sub(load(&self.last_byte_at).max(load(&self.response_ended_at))))
+    }
+
+    /// Has the connection give way to others.
+    pub fn evict(&self) {
+        self.evicted.store(true, Ordering::Relaxed);
+        self.eviction.notify_waiters();
+    }
+
+    /// Waits until the connection is to give way.
+    pub async fn wait_for_eviction(&self) {
+        loop {
+            let notified = self.eviction.notified();
+            if self.evicted.load(Ordering::Relaxed) {
+                return;
+            }
+            notified.await;
+        }
+    }
+
     /// Returns when to close the connection if nothing more happens, and why.
     pub fn deadline(&self) -> (Nanos, CloseReason) {
         let deadline = self.exchange_deadline();
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -17,6 +17,7 @@
 use crate::handover::{Handover, Orders};
 use crate::input::{ClientRequest, ConsoleCommand, ConsoleReply, Input, Reply};
 use crate::lifecycle::{Command, Lifecycle, ServingState};
+use crate::memory::{resident_bytes, Purpose};
 use crate::metrics::{self, Metrics, RequestEnd, Totals};
 use crate::peers::Peers;
 use crate::server_list::{Endpoint, ServerList};
@@ -268,6 +269,9 @@
                 ScheduledTask::RequestDeadline(id) => self.fail_overdue(id),
                 ScheduledTask::PoolSweep => {
                     self.pool.close_expired();
+                    while !self.capacity.process_memory.allows(Purpose::IdleConnection)
+                        && self.pool.close_longest_idle()
+                    {}
                     self.schedule.push(Reverse((now + POOL_SWEEP_INTERVAL, ScheduledTask::PoolSweep)));
                 }
                 ScheduledTask::Report => {
--- a/crates/node/src/driver/orders.rs
+++ b/crates/node/src/driver/orders.rs
@@ -80,6 +80,7 @@
         let has_companion = shared.has_companion();
         if has_companion != had_companion {
             self.capacity.resize(has_companion);
+            self.share_memory(has_companion);
             self.share_claims(has_companion); // before the other process is told that it may take clients
         }
         if !std::mem::replace(&mut self.has_polled, true) {
@@ -117,13 +118,28 @@
         if !has_companion {
             self.lifecycle.allow_listening();
         } else if shared.is_first() {
-            if let Err(error) = shared.publish_usage(self.capacity.allocation()) {
+            let memory = self.capacity.process_memory.needed_beside(resident_bytes().unwrap_or(0));
+            self.capacity.process_memory.run_beside_own(memory);
+            if let Err(error) = shared.publish_usage(self.capacity.allocation(), memory) {
                 warn!(%error, "cannot tell the successor process how much capacity is free");
             }
         } else if !shared.has_slot() {
             self.lifecycle.await_predecessor(self.clock.now()); // a third process, for which there is no capacity
-        } else if shared.companion_usage().is_some_and(|kept| self.capacity.fit_beside(kept)) {
-            self.lifecycle.allow_listening();
+        } else {
+            if let Some(memory) = shared.companion_memory() {
+                self.capacity.process_memory.run_beside(memory);
+            }
+            if shared.companion_usage().is_some_and(|kept| self.capacity.fit_beside(kept)) {
+                self.lifecycle.allow_listening();
+            }
+        }
+    }
+
+    /// Sets the memory of this process at the start or the end of another one, which has told nothing yet.
+    fn share_memory(&mut self, has_companion: bool) {
+        match has_companion {
+            true => self.capacity.process_memory.run_beside_unknown(),
+            false => self.capacity.process_memory.run_alone(),
         }
     }
 
--- a/crates/node/src/driver/pending_request.rs
+++ b/crates/node/src/driver/pending_request.rs
@@ -27,6 +27,7 @@
     pub(super) fn finish(&mut self, reply: Option<Reply>, metrics: &mut Metrics) -> bool {
         let Some(client) = self.reply_sender.take() else { return false };
         self.request.cancellation.cancel();
+        self.request.release_body();
         let end = match &reply {
             // A streamed response ends with its last byte.
             Some(reply) if reply.is_streamed() => None,
--- a/crates/node/src/driver/requests.rs
+++ b/crates/node/src/driver/requests.rs
@@ -167,7 +167,11 @@
         debug!(request = id.0, attempt, server = name, list = self.list_version, "attempt started");
         let server = &self.servers[server_id.0 as usize];
         let is_cancelled = pending.request.cancellation.is_cancelled();
-        let source = if is_cancelled { None } else { self.pool.acquire(server_id, server.address) };
+        let has_memory = self.capacity.process_memory.allows(Purpose::Attempt);
+        let source = match is_cancelled || !has_memory {
+            true => None,
+            false => self.pool.acquire(server_id, server.address),
+        };
         self.attempt_stats.sent += 1;
         let task = source.map(|source| {
             let response_timeout = if timeout > 0 { timeout } else { Nanos::MAX };
@@ -178,7 +182,7 @@
                 deadline: pending.deadline,
                 started: now,
                 write_by: within.map_or(Nanos::MAX, |within| now.saturating_add(within)),
-                buffer_budget: BufferBudget(self.capacity.bodies.clone()),
+                buffer_budget: BufferBudget::new(&self.capacity),
                 connect_timeout: self.limits.connect_timeout,
                 clock: self.clock,
                 sent_attempts: self.metrics.sent_attempts(),
--- a/crates/node/src/front/accept.rs
+++ b/crates/node/src/front/accept.rs
@@ -25,10 +25,10 @@
             increment(&self.stats.full);
         }
         // Above the target, released slots belong to the other process of this node.
-        while !self.capacity.clients.reclaim() {
+        while !self.capacity.clients.reclaim() || !self.capacity.process_memory.allows(Purpose::Connection) {
             sleep(ACCEPT_RETRY_DELAY).await;
         }
-        let slot = self.capacity.clients.acquire().await;
+        let slot = self.acquire_slot().await;
         match listener.accept().await {
             Ok((stream, _)) => {
                 self.spawn_connection(stream, slot, close_requested);
@@ -41,6 +41,18 @@
         }
     }
 
+    /// Waits for a slot, for which connections that move nothing give way.
+    async fn acquire_slot(&self) -> OwnedSemaphorePermit {
+        let slot = self.capacity.clients.acquire();
+        tokio::pin!(slot);
+        loop {
+            if let Ok(slot) = timeout(ACCEPT_RETRY_DELAY, slot.as_mut()).await {
+                return slot;
+            }
+            self.evict_still();
+        }
+    }
+
     /// Serves a connection in a task of its own, which holds the slot until the connection is closed.
     fn spawn_connection(
         self: &Arc<Self>, stream: TcpStream, slot: OwnedSemaphorePermit,
@@ -51,12 +63,10 @@
         let _ = stream.set_nodelay(true);
         let (front, stream, close_requested) = (self.clone(), Arc::new(stream), close_requested.clone());
         tokio::spawn(async move {
-            let served = ServedConnection::new(&front);
             let (served_stream, ends_by_close) = (SharedStream(stream.clone()), AtomicBool::new(false));
             let end = front
                 .serve_connection(served_stream, Some(stream.clone()), close_requested, &ends_by_close)
                 .await;
-            drop(served);
             if end == ConnectionEnd::Cut && ends_by_close.load(Ordering::Relaxed) {
                 // An orderly close would end the response for its client. An error means that it has already ended.
                 let _ = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
@@ -80,7 +90,7 @@
     ) {
         let Ok(listener) = listener.into_std() else { return };
         loop {
-            let slot = self.capacity.clients.acquire().await;
+            let slot = self.acquire_slot().await;
             match listener.accept().map(|(stream, _)| stream) {
                 Ok(stream) => {
                     let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
@@ -99,22 +109,6 @@
     }
 }
 
-/// Counts a connection as served until it is dropped.
-struct ServedConnection<'a>(&'a AtomicUsize);
-
-impl<'a> ServedConnection<'a> {
-    fn new(front: &'a Front) -> Self {
-        front.served_connections.fetch_add(1, Ordering::Relaxed);
-        ServedConnection(&front.served_connections)
-    }
-}
-
-impl Drop for ServedConnection<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Reads and discards what the client still sends, until it closes the connection. Between two rounds the rest waits in
 /// the kernel, so that a client that sends at full speed is held back by its own connection.
 async fn read_until_closed(stream: &TcpStream, reads: usize) {
--- a/crates/node/src/front/connection.rs
+++ b/crates/node/src/front/connection.rs
@@ -8,6 +8,7 @@
 const PARTIAL_REQUEST_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Bytes of a request that a connection buffers: the buffers of all slots together must fit in memory.
 pub(super) const MAX_BUFFER_BYTES: usize = 16 << 10;
+
 /// Number of free slots below which connections are closed after their response.
 const KEEP_ALIVE_RESERVE: usize = 32;
 
@@ -37,6 +38,7 @@
             longest_deadline,
         ));
         let accepted_at = Instant::now();
+        let _open = self.open.add(&timeouts, accepted_at);
         let now = move || accepted_at.elapsed().as_nanos() as Nanos;
         let mut drain = close_requested.clone();
         let timed_out = async {
@@ -48,6 +50,7 @@
                 }
                 tokio::select! {
                     () = sleep(Duration::from_nanos(time_left.min(timeouts.poll_interval()))) => {}
+                    () = evicted_without_request(&timeouts) => return CloseReason::Evicted,
                     _ = drain.wait_for(|started| *started), if !timeouts.is_draining() => {
                         timeouts.drain_started(now());
                     }
@@ -111,16 +114,18 @@
 
     /// Counts a connection that a timeout closes.
     fn count_timeout(&self, reason: CloseReason) -> ConnectionEnd {
-        increment(match reason {
+        let count = match reason {
+            CloseReason::Evicted => return ConnectionEnd::Orderly, // counted as it was chosen
             CloseReason::NoRequest => &self.stats.silent,
             CloseReason::Stalled => &self.stats.stalled,
             CloseReason::DrainLimit => &self.stats.cut_by_drain,
-        });
+        };
+        increment(count);
         if self.posture.borrow().stop.is_some() {
             info!(?reason, "client connection closed by a timeout while the node stops");
         }
         match reason {
-            CloseReason::NoRequest => ConnectionEnd::Orderly,
+            CloseReason::NoRequest | CloseReason::Evicted => ConnectionEnd::Orderly,
             CloseReason::Stalled | CloseReason::DrainLimit => ConnectionEnd::Cut,
         }
     }
@@ -138,3 +143,12 @@
         }
     }
 }
+
+/// Waits until the connection is to give way to others and no request on it is owed an answer. A request that is being
+/// received is refused by its handler.
+async fn evicted_without_request(timeouts: &ConnectionTimeouts) {
+    timeouts.wait_for_eviction().await;
+    while !timeouts.has_no_request() {
+        sleep(PARTIAL_REQUEST_POLL_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/node/src/front/eviction.rs
@@ -0,0 +1,86 @@
+//! What gives way when slots or memory run out: connections that hold much and move nothing come first, and nobody whose
+//! request was read is closed without an answer.
+
+use super::*;
+use crate::memory::resident_bytes;
+
+/// Time without a byte after which a connection gives way to others: peers send in pieces with pauses between them.
+const STILL_TIME: Nanos = 200_000_000;
+/// The same while the node stops: everybody who waits to be accepted has to be answered before the end.
+const STILL_TIME_AT_STOP: Nanos = 50_000_000;
+/// Connections that give way at once.
+const MAX_EVICTIONS: usize = 8;
+const KIB: usize = 1 << 10;
+
+impl Front {
+    /// Ends connections that move nothing, while others wait for memory.
+    pub(super) fn evict_for_memory(&self) {
+        let is_short =
+            self.capacity.bodies.waiting() > 0 || !self.capacity.process_memory.allows(Purpose::Connection);
+        if is_short {
+            self.evict_still();
+        }
+    }
+
+    /// Ends connections that move nothing, for clients that wait for a slot.
+    pub(super) fn evict_still(&self) {
+        let is_stopping = self.posture.borrow().stop.is_some();
+        let limit = if is_stopping { STILL_TIME_AT_STOP } else { STILL_TIME };
+        let evicted = (0..MAX_EVICTIONS).take_while(|_| self.open.evict_longest_still(limit)).count();
+        self.stats.evicted.fetch_add(evicted as u64, Ordering::Relaxed);
+    }
+
+    /// Reads as much of a body as is buffered; for one that is streamed, reserves the memory of a stream.
+    pub(super) async fn read_body(
+        &self, body: &mut Incoming, wait_limit: impl Fn(usize) -> (Instant, OnTimeout),
+    ) -> Result<(BodyPrefix, BufferReservation), BodyError> {
+        let budget = BufferBudget::new(&self.capacity);
+        let prefix = buffer_body(body, &budget, WithoutMemory::Wait, &wait_limit).await?;
+        if prefix.is_complete || prefix.reservation.is_some() {
+            return Ok((prefix, None));
+        }
+        let reservation = timeout_at(wait_limit(0).0, budget.wait_for_stream()).await;
+        Ok((prefix, reservation.map_err(|_| BodyError::NoMemory)?))
+    }
+
+    /// Counts a request that is refused because memory is short. Returns its status.
+    pub(super) fn refuse_for_memory(&self, reason: &str) -> StatusCode {
+        increment(&self.stats.refused_for_memory);
+        debug!(
+            reason,
+            allocated = self.capacity.process_memory.allocated(),
+            "request refused: memory is short"
+        );
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+
+    /// Writes a log line on the memory of the process if it was short since the last one.
+    pub(super) fn report_memory(&self) {
+        let refused = self.stats.refused_for_memory.swap(0, Ordering::Relaxed);
+        let evicted = self.stats.evicted.swap(0, Ordering::Relaxed);
+        if refused + evicted == 0 {
+            return;
+        }
+        let memory = &self.capacity.process_memory;
+        info!(
+            allocated_kib = memory.allocated() / KIB,
+            limit_kib = memory.limit() / KIB,
+            resident_kib = resident_bytes().map(|bytes| bytes / KIB),
+            bodies_kib = self.capacity.bodies.in_use(),
+            bodies_limit_kib = self.capacity.bodies.total(),
+            waiting = self.capacity.bodies.waiting(),
+            refused,
+            evicted,
+            "memory"
+        );
+    }
+}
+
+/// The status for a body that could not be read.
+pub(super) fn status_of(error: BodyError) -> StatusCode {
+    match error {
+        BodyError::TimedOut => StatusCode::REQUEST_TIMEOUT,
+        BodyError::Broken => StatusCode::BAD_REQUEST,
+        BodyError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -7,7 +7,7 @@
 use std::net::{Shutdown, SocketAddr};
 use std::ops::ControlFlow;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -27,15 +27,19 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 use tokio_util::sync::CancellationToken;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
-use crate::body::{buffer_body, BodyError, BodyPrefix, BufferBudget, BufferedBody, OnTimeout, Upload};
+use crate::body::{
+    buffer_body, BodyError, BodyPrefix, BufferBudget, BufferReservation, BufferedBody, OnTimeout, Upload,
+    WithoutMemory,
+};
 use crate::capacity::Capacity;
 use crate::clock::Clock;
 use crate::configuration::TenantRef;
 use crate::connection_timeouts::{CloseReason, ConnectionTimeouts};
 use crate::input::{ClientRequest, Input, Reply};
 use crate::lifecycle::ServingState;
+use crate::memory::Purpose;
 use crate::request_head::RequestHead;
 use crate::stream::{has_disconnected, is_transient, limit_unsent_bytes, MonitoredStream, SharedStream};
 use crate::upstream::{Relay, RequestBody, ServerResponseBody, UpstreamRequest};
@@ -45,15 +49,19 @@
 mod accept;
 mod active_request;
 mod connection;
+mod eviction;
 mod listener;
+mod open_connections;
 mod response;
 mod stall;
 mod stats;
 
 use active_request::{ActiveRequest, CancelOnDrop};
 use connection::ConnectionEnd;
+use eviction::status_of;
 pub use listener::ClientListener;
 use listener::BACKLOG;
+use open_connections::OpenConnections;
 use response::*;
 use stall::StallDetector;
 use stats::{increment, ConnectionStats};
@@ -86,7 +94,7 @@
     next_id: AtomicU64,
     stalls: StallDetector,
     stats: ConnectionStats,
-    served_connections: AtomicUsize, // connections that have not ended, without those that only wait for the close
+    open: OpenConnections, // those that have not ended, without those that only wait for the close
 }
 
 impl Front {
@@ -107,7 +115,7 @@
             next_id: AtomicU64::new(0),
             stalls: StallDetector::new(clock.now()),
             stats: ConnectionStats::default(),
-            served_connections: AtomicUsize::new(0),
+            open: OpenConnections::default(),
         }
     }
 
@@ -125,9 +133,11 @@
             loop {
                 sleep(HEARTBEAT_INTERVAL).await;
                 front.stalls.heartbeat(front.clock.now());
+                front.evict_for_memory();
                 if reported.elapsed() >= REPORT_INTERVAL {
                     reported = Instant::now();
                     front.stats.report(front.capacity.clients.in_use(), front.capacity.clients.total());
+                    front.report_memory();
                 }
             }
         });
@@ -169,21 +179,20 @@
     /// Returns once the last exchange has ended. Each connection ends by its own limits, so an answer that is still
     /// being sent is not cut.
     async fn drain_connections(&self) {
-        let open = self.served_connections.load(Ordering::Relaxed);
+        let open = self.open.count();
         info!(open, "draining client connections");
         let answers_begun_by = self.answers_begun_by();
         let all_ended = async {
             // Once all answers have begun, connections that only wait for the client to close are not waited for.
             while self.capacity.clients.in_use() > 0
-                && (self.clock.now() < answers_begun_by
-                    || self.served_connections.load(Ordering::Relaxed) > 0)
+                && (self.clock.now() < answers_begun_by || self.open.count() > 0)
             {
                 sleep(SETTLE_INTERVAL).await;
             }
         };
         let exit_by = self.posture.borrow().stop.map_or(answers_begun_by, |stop| stop.exit_by);
         if timeout_at(self.clock.instant(exit_by), all_ended).await.is_err() {
-            let open = self.served_connections.load(Ordering::Relaxed);
+            let open = self.open.count();
             warn!(open, "client connections still open at the last limit of the stop; closing them");
         }
     }
@@ -239,6 +248,9 @@
         if active_request.has_disconnected().await {
             return Err(StatusCode::BAD_REQUEST); // any status will do: no client is left to read it
         }
+        if !self.capacity.process_memory.allows(Purpose::Request) {
+            return Err(self.refuse_for_memory("a request"));
+        }
         let request_head = RequestHead::read(&head.uri, &head.headers);
         let class =
             request_head.class.and_then(|name| self.classes.get(name)).ok_or(StatusCode::NOT_FOUND)?;
@@ -258,12 +270,11 @@
         let wait_limit = |received: usize| {
             (base_deadline + Duration::from_secs_f64(received as f64 / MIN_BODY_RATE), OnTimeout::Fail)
         };
-        let prefix = buffer_body(&mut body, &BufferBudget(self.capacity.bodies.clone()), wait_limit)
-            .await
-            .map_err(|error| match error {
-                BodyError::TimedOut => StatusCode::REQUEST_TIMEOUT,
-                BodyError::Broken => StatusCode::BAD_REQUEST,
-            })?;
+        let (prefix, stream_memory) = tokio::select! {
+            biased;
+            read = self.read_body(&mut body, wait_limit) => read.map_err(status_of)?,
+            () = timeouts.wait_for_eviction() => return Err(self.refuse_for_memory("it moves too little")),
+        };
         if prefix.is_complete {
             timeouts.request_read();
         }
@@ -274,13 +285,15 @@
         let client_deadline =
             self.posture.borrow().stop.map_or(client_deadline, |stop| client_deadline.min(stop.answer_by));
         let body = match prefix {
-            complete @ BodyPrefix { is_complete: true, .. } => RequestBody::Buffered(complete.into()),
-            incomplete => RequestBody::Streamed(Arc::new(Upload::new(incomplete, body, self.clock))),
+            complete @ BodyPrefix { is_complete: true, .. } => BufferedBody::from(complete).into(),
+            incomplete => {
+                RequestBody::Streamed(Arc::new(Upload::new(incomplete, body, stream_memory, self.clock)))
+            }
         };
         let is_head = head.method == Method::HEAD;
         let path = head.uri.path_and_query().cloned().map_or_else(Uri::default, Uri::from);
         let upstream_request = UpstreamRequest::new(head.method, path, head.headers, body)
-            .from_client(active_request.client_socket.as_ref());
+            .with_client(active_request.client_socket.as_ref());
         let upstream_request = Arc::new(upstream_request);
         let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
         let (client, reply) = oneshot::channel();
--- a/crates/node/src/front/response.rs
+++ b/crates/node/src/front/response.rs
@@ -16,23 +16,21 @@
         mut self: Pin<&mut Self>, cx: &mut Context,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         match &mut self.body {
-            ClientBody::Buffered { body, .. } => {
-                Pin::new(body).poll_frame(cx).map_err(|never| match never {})
-            }
+            ClientBody::Buffered(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
             ClientBody::Streamed(relay) => Pin::new(relay).poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match &self.body {
-            ClientBody::Buffered { body, .. } => body.is_end_stream(),
+            ClientBody::Buffered(body) => body.is_end_stream(),
             ClientBody::Streamed(relay) => relay.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.body {
-            ClientBody::Buffered { body, .. } => body.size_hint(),
+            ClientBody::Buffered(body) => body.size_hint(),
             ClientBody::Streamed(relay) => relay.size_hint(),
         }
     }
@@ -40,8 +38,8 @@
 
 /// The content of a response body.
 pub(super) enum ClientBody {
-    /// In memory; `_buffer` keeps its reservation.
-    Buffered { body: Full<Bytes>, _buffer: BufferedBody },
+    /// In memory.
+    Buffered(Full<Bytes>),
     /// Streamed from a server.
     Streamed(Box<Relay>),
 }
@@ -55,7 +53,7 @@
 
 impl From<BufferedBody> for ClientBody {
     fn from(buffered: BufferedBody) -> Self {
-        ClientBody::Buffered { body: Full::new(buffered.bytes.clone()), _buffer: buffered }
+        ClientBody::Buffered(Full::new(buffered.bytes))
     }
 }
 
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -133,8 +133,10 @@
     second: Slot,
     companion: bool,
     usage_path: PathBuf,
+    memory_path: PathBuf,
     token: String, // identifies this process; an earlier one in the second slot had another
     published_usage: Option<String>,
+    published_memory: Option<usize>,
 }
 
 impl Handover {
@@ -155,8 +157,10 @@
             second: slot("second"),
             companion: false,
             usage_path: path("room"),
+            memory_path: path("memory"),
             token: format!("{:x}-{:x}", started.as_nanos(), std::process::id()),
             published_usage: None,
+            published_memory: None,
         }
     }
 
@@ -200,10 +204,16 @@
         self.is_first() || self.second.locked.is_some()
     }
 
-    /// Publishes the capacity that this process still uses for the other process, if it has changed.
-    pub fn publish_usage(&mut self, usage: Allocation) -> io::Result<()> {
+    /// Publishes the capacity that this process still uses for the other process, if it has changed, and the bytes of
+    /// memory that it needs.
+    pub fn publish_usage(&mut self, usage: Allocation, memory: usize) -> io::Result<()> {
         let token = fs::read_to_string(&self.second.path)?;
         let text = format!("{token} {} {} {}", usage.clients, usage.servers, usage.bodies);
+        // It is written first, so that a successor that reads the usage finds it.
+        if self.published_memory != Some(memory) {
+            fs::write(&self.memory_path, format!("{token} {memory}"))?;
+            self.published_memory = Some(memory);
+        }
         if self.published_usage.as_ref() != Some(&text) {
             fs::write(&self.usage_path, &text)?;
             self.published_usage = Some(text);
@@ -222,6 +232,13 @@
         words.next().is_none().then_some(usage)
     }
 
+    /// The bytes of memory that the first process needs, once it has published it for this process.
+    pub fn companion_memory(&self) -> Option<usize> {
+        let text = fs::read_to_string(&self.memory_path).ok()?;
+        let (token, memory) = text.split_once(' ')?;
+        memory.parse().ok().filter(|_| token == self.token)
+    }
+
     /// The orders, if they were written since this process last read or wrote them.
     pub fn changed_orders(&mut self) -> Option<Orders> {
         let stamp = self.orders_stamp();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod handover;
 mod input;
 mod lifecycle;
+pub mod memory;
 mod metrics;
 mod peers;
 pub mod process;
@@ -36,6 +37,7 @@
 use crate::clock::Clock;
 use crate::configuration::{Applier, Baseline, FleetPublisher, NodeContent, Publisher};
 use crate::console::ConfigurationApi;
+use crate::memory::HeapUsage;
 use merlinfold_config::Fleet as FleetSettings;
 use merlinfold_decide::interface::{Discovery, Settings};
 use merlinfold_decide::policy::Balancer;
@@ -144,6 +146,13 @@
     ///
     /// All processes of this node share state under `folder`. Without it they do not know of each other.
     pub async fn bind(config: Config, folder: Option<&Path>) -> Result<Self, String> {
+        Self::bind_within(config, folder, None).await
+    }
+
+    /// The same for a node that is alone in its process, whose heap has the size that `heap_usage` tells.
+    pub async fn bind_within(
+        config: Config, folder: Option<&Path>, heap_usage: Option<HeapUsage>,
+    ) -> Result<Self, String> {
         let (mut names, clock) = (NameTables::default(), Clock::new());
         let (host, settings, seed) = config.check(&mut names)?;
         let cannot_use = |field, at| move |error: io::Error| format!("{field}: cannot use {at}: {error}");
@@ -167,7 +176,8 @@
         };
         let discovery = discovery::Watcher::new(address, sender.clone(), retry, known);
         let memory = (config.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * f64::from(1 << 20)) as usize; // saturates
-        let capacity = capacity::Capacity::new(config.limits.sockets, memory, false);
+        let mut capacity = capacity::Capacity::new(config.limits.sockets, memory, false);
+        capacity.limit_heap(heap_usage);
         let baseline = Baseline::new(&settings, &names, host.max_open_requests);
         // Only the watcher polls discovery. To the decision module every list is pushed.
         let balancer = Balancer::new(Settings { discovery: Discovery::Push, ..settings.clone() }, seed);
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -13,6 +13,7 @@
 use merlinfold_config::Fleet;
 use merlinfold_fleet::Disks;
 
+use crate::memory::HeapUsage;
 use crate::{Config, Node, Reloader};
 
 /// Reads of the configuration after one SIGHUP. A new address of discovery has to be in use within 4 s.
@@ -20,8 +21,9 @@
 const RELOAD_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Serves with the configuration file that `BALANCER_CONFIG` names, until SIGTERM. An error is one line that names what
-/// is missing or invalid. `fleet` is the fleet to join, if any, and `disks` gives access to its files.
-pub fn run(fleet: Option<Fleet>, disks: Disks) -> Result<(), String> {
+/// is missing or invalid. `fleet` is the fleet to join, if any, `disks` gives access to its files, and `heap_usage` tells
+/// how much the process has allocated.
+pub fn run(fleet: Option<Fleet>, disks: Disks, heap_usage: HeapUsage) -> Result<(), String> {
     let path = std::env::var("BALANCER_CONFIG").map_err(|error| format!("BALANCER_CONFIG: {error}"))?;
     let text = read_configuration(&path)?;
     let mut config = Config::parse(&text).map_err(|error| format!("configuration: {error}"))?;
@@ -33,7 +35,7 @@
         let mut sigterm = signal(SignalKind::terminate()).map_err(|error| format!("SIGTERM: {error}"))?;
         let hangup = signal(SignalKind::hangup()).map_err(|error| format!("SIGHUP: {error}"))?;
         let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty());
-        let mut node = Node::bind(config, folder.as_ref().map(Path::new))
+        let mut node = Node::bind_within(config, folder.as_ref().map(Path::new), Some(heap_usage))
             .await
             .map_err(|error| format!("configuration: {error}"))?;
         // Handling SIGXFSZ for as long as the process runs turns a file size limit into an error of one write; by
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -7,8 +7,9 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Weak};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -23,7 +24,7 @@
 use tokio_util::sync::CancellationToken;
 use tracing::debug;
 
-use crate::body::{buffer_body, AttemptBody, BufferBudget, BufferedBody, OnTimeout, Upload};
+use crate::body::{buffer_body, AttemptBody, BufferBudget, BufferedBody, OnTimeout, Upload, WithoutMemory};
 use crate::capacity::Slots;
 use crate::clock::Clock;
 use crate::metrics::AttemptCounter;
@@ -274,10 +275,11 @@
         let has_known_length = body.size_hint().exact().is_some();
         let buffering = if has_known_length { KNOWN_LENGTH_BUFFERING } else { UNKNOWN_LENGTH_BUFFERING };
         let wait_limit = |_| (received_at + buffering, OnTimeout::Stream);
-        let mut prefix = match buffer_body(&mut body, &self.buffer_budget, wait_limit).await {
-            Ok(prefix) => prefix,
-            Err(_) => return AttemptOutcome { report, ..Status::Reset.into() },
-        };
+        let mut prefix =
+            match buffer_body(&mut body, &self.buffer_budget, WithoutMemory::Stream, wait_limit).await {
+                Ok(prefix) => prefix,
+                Err(_) => return AttemptOutcome { report, ..Status::Reset.into() },
+            };
         if status != Status::Ok {
             let connection = Some(connection).filter(|_| prefix.is_complete); // the rest of an error body is not needed
             return AttemptOutcome {
@@ -299,7 +301,15 @@
         let (body, connection) = if prefix.is_complete {
             (ServerResponseBody::Buffered(prefix.into()), self.if_reusable(Some(connection)).await)
         } else {
-            (ServerResponseBody::Streamed(Box::new(Relay::new(prefix, body, connection))), None)
+            (
+                ServerResponseBody::Streamed(Box::new(Relay::new(
+                    prefix,
+                    body,
+                    connection,
+                    &self.buffer_budget,
+                ))),
+                None,
+            )
         };
         let response = Some(ServerResponse { content_type, length, body });
         AttemptOutcome { response, report, connection, ..status.into() }
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -74,7 +74,7 @@
     }
 
     /// Closes the connection that has been idle longest. Returns false if there is none.
-    pub(super) fn close_longest_idle(&mut self) -> bool {
+    pub fn close_longest_idle(&mut self) -> bool {
         let oldest = self.idle.values_mut().filter(|idle| !idle.is_empty()).min_by_key(|idle| idle[0].1);
         oldest.map(|idle| idle.remove(0)).is_some()
     }
--- a/crates/node/src/upstream/request.rs
+++ b/crates/node/src/upstream/request.rs
@@ -18,12 +18,18 @@
 
 /// The body of a client request.
 pub enum RequestBody {
-    /// In memory, for any number of attempts.
-    Buffered(BufferedBody),
+    /// In memory, for any number of attempts; empty once the request is answered.
+    Buffered(Mutex<BufferedBody>),
     /// Streamed from the client, for one attempt.
     Streamed(Arc<Upload>),
 }
 
+impl From<BufferedBody> for RequestBody {
+    fn from(body: BufferedBody) -> Self {
+        RequestBody::Buffered(Mutex::new(body))
+    }
+}
+
 /// Header with the time that the sender waits for a response, in milliseconds.
 pub(super) const REMAINING_MS: HeaderName = HeaderName::from_static("x-remaining-ms");
 
@@ -40,6 +46,11 @@
     header::CONTENT_LENGTH, // the node sets the framing of the forwarded request
 ];
 
+/// Locks a body, which is replaced as a whole and so stays valid after a panic.
+fn lock(body: &Mutex<BufferedBody>) -> MutexGuard<'_, BufferedBody> {
+    body.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl UpstreamRequest {
     /// Creates the request to forward; removes the hop-by-hop headers.
     pub fn new(method: Method, uri: Uri, mut headers: HeaderMap, body: RequestBody) -> Self {
@@ -62,7 +73,7 @@
     }
 
     /// Sets the socket on which the request came.
-    pub fn from_client(self, client_socket: Option<&Arc<TcpStream>>) -> Self {
+    pub fn with_client(self, client_socket: Option<&Arc<TcpStream>>) -> Self {
         UpstreamRequest { client_socket: client_socket.map(Arc::downgrade), ..self }
     }
 
@@ -84,6 +95,13 @@
         self.headers.get("x-txn").and_then(|value| value.to_str().ok()).unwrap_or_default()
     }
 
+    /// Frees the body. The request is answered, and no further attempt begins.
+    pub fn release_body(&self) {
+        if let RequestBody::Buffered(body) = &self.body {
+            *lock(body) = BufferedBody::small(Bytes::new());
+        }
+    }
+
     /// Returns the streamed body, if the request has one.
     pub fn upload(&self) -> Option<&Arc<Upload>> {
         match &self.body {
@@ -99,7 +117,7 @@
     ) -> Request<AttemptBody> {
         let mut request = Request::new(match &self.body {
             RequestBody::Buffered(body) => {
-                AttemptBody::Buffered(Some(body.bytes.clone()).filter(|body| !body.is_empty()))
+                AttemptBody::Buffered(Some(lock(body).bytes.clone()).filter(|body| !body.is_empty()))
             }
             RequestBody::Streamed(upload) => AttemptBody::streamed(upload.clone(), sent_attempts.clone()),
         });
