Empty the accept queue of a busy node before it ends

Callers: requests that waited in the accept queue of a node that was told to end were closed without an answer, beside a crowd.

Cause: the queue is drained until it is empty, but the listener goes on queueing. Beside clients that connect again at once it was never empty, and what was in it at the limit of the stop was reset: 'clients still waiting to be accepted' in the log.

Change: as the drain begins the listener queues no more. Clients whose handshakes are not answered reach the successor.

--- a/crates/node/src/front/accept.rs
+++ b/crates/node/src/front/accept.rs
@@ -13,6 +13,8 @@
 /// The same after an invalid message, behind which no upload is expected.
 const DISCARD_READS_WHEN_MALFORMED: usize = 1;
 const DISCARD_BYTES: usize = 16 << 10;
+/// Maximum number of connections that the kernel queues while the queue is emptied before the end.
+const BACKLOG_WHILE_DRAINING: i32 = 0;
 /// Delay after a failed accept, which keeps a repeated error from spinning.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -88,6 +90,9 @@
     pub(super) async fn drain_backlog(
         self: &Arc<Self>, listener: TcpListener, close_requested: &watch::Receiver<bool>,
     ) {
+        // The handshakes of further clients are left to a successor, or the queue of a busy node would never be empty. An
+        // error means that they go on arriving here.
+        let _ = SockRef::from(&listener).listen(BACKLOG_WHILE_DRAINING);
         let Ok(listener) = listener.into_std() else { return };
         loop {
             let slot = self.acquire_slot().await;
