Count the time of a streamed request from when its last byte may have been written

Callers: where a server read a long request slowly, the final answer came up to 2.7 s after its time.

Cause: the time began when the last byte was handed to the connection to the server. The client's time begins when it has written that byte, which can wait in the kernels of both machines for seconds behind bytes that the server has not read.

Change: an upload records when its bytes were read and when the client was last waited for. Its last byte may have been written at any time since then, or since what was unread fitted in the kernel (2.75 MiB). The attempt ends when the client's time and 0.3 s have passed since, with 503 if the last byte was not handed over and else as one that may have run. A body that waited for memory counts from there as well, and waits no longer than its client.

The client has 1.5 s now, and the answer has to come within them; the server is as slow as before.

Cost: a server that reads a request with a deadline of 0.5 s more slowly than some 3.5 MB a second is refused, as the node cannot tell what the kernel of its client holds.

--- a/crates/cli/tests/bodies.rs
+++ b/crates/cli/tests/bodies.rs
@@ -414,6 +414,7 @@
 fn a_server_that_reads_slowly_gets_the_whole_of_a_long_request() {
     const PIECE: usize = 64 << 10;
     const PAUSE: Duration = Duration::from_millis(40); // between pieces: 1.6 MB a second
+    const REMAINING_MS: u64 = 1_500; // more than the server takes for what the kernel can hold
     let node = node_in_front_of(start_raw_server(|mut stream| {
         read_head(&mut stream);
         let mut taken = vec![0; 2 * LONG];
@@ -426,11 +427,13 @@
         stream.write_all(response(200, "", "whole").as_bytes()).unwrap();
     }));
     let mut client = node.client();
-    let framing = format!("Content-Length: {}\r\nX-Remaining-Ms: 500\r\nX-Txn", 2 * LONG);
+    let framing = format!("Content-Length: {}\r\nX-Remaining-Ms: {REMAINING_MS}\r\nX-Txn", 2 * LONG);
     client.write(&get("pay").replace("GET", "POST").replace("X-Txn", &framing));
     client.send(&pattern(LONG));
     client.send(&pattern(LONG));
+    let sent = Instant::now();
     let answer = client.read().expect("an answer");
+    assert!(sent.elapsed() < Duration::from_millis(REMAINING_MS), "answered after the client's time");
     assert_eq!((answer.status(), answer.body.as_slice()), (200, b"whole".as_slice()));
 }
 
--- a/crates/lab/tests/peer_faults.rs
+++ b/crates/lab/tests/peer_faults.rs
@@ -74,3 +74,15 @@
 fn an_upgrade_beside_hundreds_of_stopped_requests_stays_within_the_memory_of_one_node() {
     play("upgrade-beside-stopped-uploads");
 }
+
+/// Guards the final answer of a long request against a server that reads it slowly.
+#[test]
+fn a_request_that_its_server_reads_slowly_is_answered_in_time() {
+    play("slow-server-reads");
+}
+
+/// Guards a long answer that its server writes slowly against being cut.
+#[test]
+fn an_answer_that_its_server_writes_slowly_comes_whole() {
+    play("slow-server-answers");
+}
--- a/crates/node/src/body/mod.rs
+++ b/crates/node/src/body/mod.rs
@@ -13,8 +13,10 @@
 use crate::capacity::{Capacity, Slots, BODY_UNIT_BYTES};
 use crate::memory::{Memory, Purpose};
 
+mod input_clock;
 mod upload;
 
+pub use input_clock::InputClock;
 pub use upload::{AttemptBody, Upload};
 
 /// Maximum size of a request or response body that is buffered, in bytes.
@@ -140,8 +142,8 @@
 /// What a body does that finds no memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WithoutMemory {
-    /// It waits unread until the time limit of its first bytes.
-    Wait,
+    /// It waits unread until this time.
+    WaitUntil(Instant),
     /// It is streamed.
     Stream,
 }
@@ -158,7 +160,7 @@
     // Memory for a body of known length is reserved once.
     let mut reservation = match length_hint {
         Some(length) if length > MAX_BUFFERED_BODY_BYTES as u64 => return Ok(nothing_read),
-        Some(length) => match reserve(budget, length as usize, without_memory, &wait_limit).await? {
+        Some(length) => match reserve(budget, length as usize, without_memory).await? {
             Some(reservation) => reservation,
             None => return Ok(nothing_read),
         },
@@ -184,7 +186,7 @@
         append(&mut buffer, &data, length_hint);
         drop(data); // it keeps a buffer of the connection
         if length_hint.is_none() && reservation.is_none() && buffer.len() > UNRESERVED_BODY_BYTES {
-            let reserved = reserve(budget, MAX_BUFFERED_BODY_BYTES, without_memory, &wait_limit).await?;
+            let reserved = reserve(budget, MAX_BUFFERED_BODY_BYTES, without_memory).await?;
             match reserved {
                 Some(reserved) => reservation = reserved,
                 None => return Ok(BodyPrefix { bytes: buffer.into(), reservation, is_complete: false }),
@@ -201,12 +203,11 @@
 /// until its time limit.
 async fn reserve(
     budget: &BufferBudget, bytes: usize, without_memory: WithoutMemory,
-    wait_limit: impl Fn(usize) -> (Instant, OnTimeout),
 ) -> Result<Option<BufferReservation>, BodyError> {
     match (budget.reserve(bytes), without_memory) {
         (Some(reservation), _) => Ok(Some(reservation)),
         (None, WithoutMemory::Stream) => Ok(None),
-        (None, WithoutMemory::Wait) => match timeout_at(wait_limit(0).0, budget.wait(bytes)).await {
+        (None, WithoutMemory::WaitUntil(limit)) => match timeout_at(limit, budget.wait(bytes)).await {
             Ok(reservation) => Ok(Some(reservation)),
             Err(_) => Err(BodyError::NoMemory),
         },
--- a/crates/node/src/body/upload.rs
+++ b/crates/node/src/body/upload.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, Sleep};
 
-use super::{BodyPrefix, BufferReservation};
+use super::{BodyPrefix, BufferReservation, InputClock};
 use crate::clock::Clock;
 use crate::metrics::AttemptCounter;
 
@@ -40,6 +40,7 @@
 }
 
 struct UploadState {
+    input: InputClock,
     prefix: Bytes,
     reservation: BufferReservation,
     rest: Incoming,
@@ -47,11 +48,17 @@
 
 impl Upload {
     /// Creates an upload from the prefix that was read, the rest of the body, and the memory for streaming it.
-    pub fn new(prefix: BodyPrefix, rest: Incoming, stream_memory: BufferReservation, clock: Clock) -> Self {
+    /// `new_input` creates the record of its bytes for a body of this length.
+    pub fn new(
+        prefix: BodyPrefix, rest: Incoming, stream_memory: BufferReservation, clock: Clock,
+        new_input: impl FnOnce(Option<u64>) -> InputClock,
+    ) -> Self {
         let length_hint = rest.size_hint().exact().map(|rest| rest + prefix.bytes.len() as u64);
+        let mut input = new_input(length_hint);
+        input.bytes_read(prefix.bytes.len() as u64, clock.now());
         let BodyPrefix { bytes, reservation, .. } = prefix;
         Upload {
-            state: Mutex::new(UploadState { prefix: bytes, reservation, rest }),
+            state: Mutex::new(UploadState { input, prefix: bytes, reservation, rest }),
             length: length_hint,
             consumed: AtomicBool::new(false),
             stalled: AtomicBool::new(false),
@@ -130,6 +137,19 @@
         }
     }
 
+    /// Waits until the last byte may have been written `limit` ago: the client's time is over.
+    pub async fn wait_until_overdue(&self, limit: Nanos) {
+        loop {
+            let now = self.clock.now();
+            let last_byte_since = self.lock().input.last_byte_since().unwrap_or(now);
+            let time_left = (last_byte_since + limit).saturating_sub(now);
+            if time_left == 0 {
+                return;
+            }
+            sleep(Duration::from_nanos(time_left)).await;
+        }
+    }
+
     /// Returns whether the next step is the server's: it has to read before more can be sent.
     fn awaits_server(&self) -> bool {
         !self.awaits_client.load(Ordering::Relaxed) && self.completed_at().is_none()
@@ -212,6 +232,8 @@
                     Some(Ok(frame)) => frame.into_data().ok(),
                     None => None,
                 };
+                let length = data.as_ref().map_or(0, Bytes::len);
+                state.input.bytes_read(length as u64, upload.clock.now());
                 let is_last = data.is_none() || state.rest.is_end_stream();
                 if is_last && upload.complete() {
                     sent_attempts.increment();
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -23,6 +23,11 @@
         self.start_unix + self.start.elapsed().as_nanos() as Nanos
     }
 
+    /// Converts a time of the runtime's clock to this clock; earlier times become the start.
+    pub fn at(&self, at: Instant) -> Nanos {
+        self.start_unix + at.saturating_duration_since(self.start).as_nanos() as Nanos
+    }
+
     /// Converts a time of this clock to the runtime's clock; earlier times become the start.
     pub fn instant(&self, at: Nanos) -> Instant {
         self.start + Duration::from_nanos(at.saturating_sub(self.start_unix))
--- a/crates/node/src/connection_timeouts.rs
+++ b/crates/node/src/connection_timeouts.rs
@@ -54,6 +54,8 @@
     drained_bytes: AtomicU64,     // transferred in either direction since the start of the drain
     evicted: AtomicBool,
     eviction: Notify,
+    input_empty: AtomicBool, // the last read found nothing
+    input_since: AtomicU64,  // first read after one that found nothing
 }
 
 impl ConnectionTimeouts {
@@ -73,6 +75,8 @@
             drained_bytes: AtomicU64::new(0),
             evicted: AtomicBool::new(false),
             eviction: Notify::new(),
+            input_empty: AtomicBool::new(true),
+            input_since: AtomicU64::new(0),
         }
     }
 
@@ -101,6 +105,24 @@
         }
     }
 
+    /// Records a read: whether it found bytes.
+    pub fn read_attempted(&self, now: Nanos, found: bool) {
+        if self.input_empty.swap(!found, Ordering::Relaxed) && found {
+            self.input_since.store(now, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns since when the client's bytes have been waiting to be read whenever they were wanted. Whatever it has sent
+    /// by now, it may have sent then.
+    pub fn input_since(&self) -> Nanos {
+        self.input_since.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the last read found nothing: the client owes the next bytes.
+    pub fn is_input_empty(&self) -> bool {
+        self.input_empty.load(Ordering::Relaxed)
+    }
+
     /// Records a write; `accepted` is false if it would have blocked.
     pub fn write_attempted(&self, now: Nanos, accepted: bool) {
         let was_blocked = self.write_blocked.swap(!accepted, Ordering::Relaxed);
--- a/crates/node/src/front/eviction.rs
+++ b/crates/node/src/front/eviction.rs
@@ -30,16 +30,16 @@
         self.stats.evicted.fetch_add(evicted as u64, Ordering::Relaxed);
     }
 
-    /// Reads as much of a body as is buffered; for one that is streamed, reserves the memory of a stream.
+    /// Reads as much of a body as is buffered, for which there has to be memory at `memory_by`; for one that is streamed, reserves the memory of a stream.
     pub(super) async fn read_body(
-        &self, body: &mut Incoming, wait_limit: impl Fn(usize) -> (Instant, OnTimeout),
+        &self, body: &mut Incoming, memory_by: Instant, wait_limit: impl Fn(usize) -> (Instant, OnTimeout),
     ) -> Result<(BodyPrefix, BufferReservation), BodyError> {
         let budget = BufferBudget::new(&self.capacity);
-        let prefix = buffer_body(body, &budget, WithoutMemory::Wait, &wait_limit).await?;
+        let prefix = buffer_body(body, &budget, WithoutMemory::WaitUntil(memory_by), wait_limit).await?;
         if prefix.is_complete || prefix.reservation.is_some() {
             return Ok((prefix, None));
         }
-        let reservation = timeout_at(wait_limit(0).0, budget.wait_for_stream()).await;
+        let reservation = timeout_at(memory_by, budget.wait_for_stream()).await;
         Ok((prefix, reservation.map_err(|_| BodyError::NoMemory)?))
     }
 
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -30,8 +30,8 @@
 use tracing::{debug, info, warn};
 
 use crate::body::{
-    buffer_body, BodyError, BodyPrefix, BufferBudget, BufferReservation, BufferedBody, OnTimeout, Upload,
-    WithoutMemory,
+    buffer_body, BodyError, BodyPrefix, BufferBudget, BufferReservation, BufferedBody, InputClock, OnTimeout,
+    Upload, WithoutMemory,
 };
 use crate::capacity::Capacity;
 use crate::clock::Clock;
@@ -270,25 +270,36 @@
         let wait_limit = |received: usize| {
             (base_deadline + Duration::from_secs_f64(received as f64 / MIN_BODY_RATE), OnTimeout::Fail)
         };
+        let deadline = self.deadlines[class];
+        let client_time = remaining.unwrap_or(deadline).min(deadline);
+        // The client may have written its last byte together with its head.
+        let memory_by = self.clock.instant(arrived + client_time);
         let (prefix, stream_memory) = tokio::select! {
             biased;
-            read = self.read_body(&mut body, wait_limit) => read.map_err(status_of)?,
+            read = self.read_body(&mut body, memory_by, wait_limit) => read.map_err(status_of)?,
             () = timeouts.wait_for_eviction() => return Err(self.refuse_for_memory("it moves too little")),
         };
         if prefix.is_complete {
             timeouts.request_read();
         }
         // The time of a request counts from its last byte; for a streamed request the last byte is still to come.
-        let arrived = if has_no_body { arrived } else { self.stalls.arrival(self.clock.now()) };
-        let deadline = self.deadlines[class];
-        let client_deadline = arrived + remaining.unwrap_or(deadline).min(deadline);
+        // A body that waited for memory may have been there all the time.
+        let accepted_at = self.clock.at(active_request.accepted_at);
+        let input_since = accepted_at + timeouts.input_since();
+        let arrived = match has_no_body {
+            true => arrived,
+            false => self.stalls.arrival(self.clock.now()).min(input_since.max(arrived)),
+        };
+        let client_deadline = arrived + client_time;
         let client_deadline =
             self.posture.borrow().stop.map_or(client_deadline, |stop| client_deadline.min(stop.answer_by));
         let body = match prefix {
             complete @ BodyPrefix { is_complete: true, .. } => BufferedBody::from(complete).into(),
-            incomplete => {
-                RequestBody::Streamed(Arc::new(Upload::new(incomplete, body, stream_memory, self.clock)))
-            }
+            incomplete => RequestBody::Streamed(Arc::new({
+                let timeouts = active_request.timeouts.clone();
+                let new_input = |length| InputClock::new(timeouts, accepted_at, length);
+                Upload::new(incomplete, body, stream_memory, self.clock, new_input)
+            })),
         };
         let is_head = head.method == Method::HEAD;
         let path = head.uri.path_and_query().cloned().map_or_else(Uri::default, Uri::from);
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -158,6 +158,7 @@
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
         let count = buffer.filled().len() - before;
+        self.timeouts.read_attempted(self.now(), read.is_ready());
         if count > 0 {
             self.timeouts.bytes_received(self.now());
             self.timeouts.bytes_transferred(count);
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -52,6 +52,10 @@
 /// The same for a response of known length: longer than any attempt, whose timeout ends it first.
 const KNOWN_LENGTH_BUFFERING: Duration = Duration::from_secs(86_400);
 
+/// Time beyond that of the client at which a streamed request ends whose last byte may have been written long ago. An
+/// answer may come up to 0.5 s late, and the last byte may have been written later.
+const OVERDUE_MARGIN: Nanos = 300_000_000;
+
 /// A time that is never reached.
 pub const NEVER: Nanos = Nanos::MAX;
 
@@ -173,7 +177,8 @@
             return Ok(AttemptOutcome { connection: Some(connection), ..Status::NotSent.into() });
         }
         if let Some(upload) = self.request.upload() {
-            let response_timeout = self.response_timeout.min(self.deadline.saturating_sub(self.started));
+            let client_time = self.deadline.saturating_sub(self.started);
+            let response_timeout = self.response_timeout.min(client_time);
             let response_deadline = async {
                 sleep_until(self.clock.instant(upload.wait_until_complete().await + response_timeout)).await
             };
@@ -183,16 +188,10 @@
                 outcome = self.send(connection, response_timeout) => outcome?,
                 () = response_deadline => Status::Timeout.into(),
                 () = upload.wait_until_blocked(now, response_timeout) => {
-                    // hyper's part of the connection has ended, so a last byte that it does not have is never sent.
-                    reset_when_closed(&stream);
-                    let status = self.status_without_response();
-                    debug!(
-                        txn = self.request.transaction_id(),
-                        server = %self.server.address,
-                        ?status,
-                        "attempt given up: the server takes no more of the request"
-                    );
-                    status.into()
+                    self.give_up_sending(&stream, "the server takes no more of the request").into()
+                }
+                () = upload.wait_until_overdue(client_time + OVERDUE_MARGIN) => {
+                    self.give_up_sending(&stream, "the client's time may be over").into()
                 }
             };
             return Ok(AttemptOutcome { sent_at: upload.completed_at(), ..outcome });
@@ -206,6 +205,16 @@
         Ok(AttemptOutcome { sent_at: Some(now), ..outcome })
     }
 
+    /// Ends a streamed request that has no response yet; returns its status.
+    fn give_up_sending(&self, stream: &TcpStream, reason: &str) -> Status {
+        // hyper's part of the connection has ended, so a last byte that it does not have is never sent.
+        reset_when_closed(stream);
+        let status = self.status_without_response();
+        let (txn, server) = (self.request.transaction_id(), self.server.address);
+        debug!(txn, %server, ?status, reason, "attempt given up");
+        status
+    }
+
     /// Sends the request and receives the response, without a timeout; errors as in [`Self::exchange`].
     async fn send(
         &self, mut connection: Connection, response_timeout: Nanos,
