Refuse in time who waits for a slot or memory in vain, and see the end of a chunked body

Cause: the accept loop waited for a slot or memory without a limit, while the kernel takes connections. After the end of a body the library looks for the next request, so the record of a body's bytes took its client for one that owes bytes.

Change: a client that has waited 0.2 s for a slot is refused unread with 503, and so are those behind it until there is a slot; eight connections at once, whose descriptors are among the reserved ones. The same at once where memory is short. A body that has ended owes nothing. A process leaves 9 MB to its successor.

--- a/crates/node/src/body/input_clock.rs
+++ b/crates/node/src/body/input_clock.rs
@@ -23,13 +23,14 @@
     accepted_at: Nanos,
     length: Option<u64>,
     read: u64,
+    has_ended: bool,
     marks: VecDeque<(u64, Nanos)>, // bytes read, and when; the first is the last beyond the unread bytes
 }
 
 impl InputClock {
     /// `accepted_at` is when the connection was accepted, and `length` the length of the body, if the client stated it.
     pub fn new(timeouts: Arc<ConnectionTimeouts>, accepted_at: Nanos, length: Option<u64>) -> Self {
-        InputClock { timeouts, accepted_at, length, read: 0, marks: VecDeque::new() }
+        InputClock { timeouts, accepted_at, length, read: 0, has_ended: false, marks: VecDeque::new() }
     }
 
     /// Records that bytes of the body were read.
@@ -43,6 +44,11 @@
         }
     }
 
+    /// Records that the body has ended: the client owes nothing more.
+    pub fn ended(&mut self) {
+        self.has_ended = true;
+    }
+
     /// The length of the body, or what was read of it.
     fn end(&self) -> u64 {
         self.length.unwrap_or(self.read)
@@ -52,7 +58,8 @@
     pub fn last_byte_since(&self) -> Option<Nanos> {
         let input_since = self.accepted_at + self.timeouts.input_since();
         let first_unread = self.end().saturating_sub(MAX_UNREAD_BYTES);
-        if self.read < first_unread || self.timeouts.is_input_empty() {
+        let owes_bytes = self.timeouts.is_input_empty() && !self.has_ended;
+        if self.read < first_unread || owes_bytes {
             return None;
         }
         let read_at = self.marks.iter().rev().find(|&&(read, _)| read <= first_unread);
--- a/crates/node/src/body/upload.rs
+++ b/crates/node/src/body/upload.rs
@@ -238,6 +238,9 @@
                 let length = data.as_ref().map_or(0, Bytes::len);
                 state.input.bytes_read(length as u64, upload.clock.now());
                 let is_last = data.is_none() || state.rest.is_end_stream();
+                if is_last {
+                    state.input.ended();
+                }
                 if is_last && upload.complete() {
                     sent_attempts.increment();
                 }
--- a/crates/node/src/front/accept.rs
+++ b/crates/node/src/front/accept.rs
@@ -6,6 +6,14 @@
 /// resets the connection, and the client could lose the end of a response.
 const LINGER: Duration = Duration::from_secs(1);
 const LINGER_WHEN_FULL: Duration = Duration::from_millis(100); // the same while other clients wait for a slot
+/// Time for which clients in the accept queue wait for a slot before they are refused: well below the time of a request.
+const MAX_SLOT_WAIT: Duration = Duration::from_millis(200);
+/// The same once one of them has waited in vain.
+const MIN_SLOT_WAIT: Duration = Duration::from_millis(2);
+/// Connections that are refused at once; their descriptors are among the reserved ones.
+pub(super) const REFUSAL_SLOTS: usize = 8;
+/// The response on a connection that is not read.
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 /// Time between two rounds of discarding what a client sends after its last response.
 const DISCARD_INTERVAL: Duration = Duration::from_millis(5);
 /// Reads of one round: enough for a long upload to get to its response within [`LINGER`], and a small part of a turn.
@@ -18,6 +26,14 @@
 /// Delay after a failed accept, which keeps a repeated error from spinning.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
+/// What happens to the next connection.
+enum Admission {
+    /// It is served in this slot.
+    Serve(OwnedSemaphorePermit),
+    /// It is refused unread.
+    Refuse(OwnedSemaphorePermit),
+}
+
 impl Front {
     /// Waits for a free slot and accepts one connection.
     pub(super) async fn accept(
@@ -26,14 +42,10 @@
         if self.capacity.clients.free() == 0 {
             increment(&self.stats.full);
         }
-        // Above the target, released slots belong to the other process of this node.
-        while !self.capacity.clients.reclaim() || !self.capacity.process_memory.allows(Purpose::Connection) {
-            sleep(ACCEPT_RETRY_DELAY).await;
-        }
-        let slot = self.acquire_slot().await;
+        let admission = self.admit().await;
         match listener.accept().await {
             Ok((stream, _)) => {
-                self.spawn_connection(stream, slot, close_requested);
+                self.handle_accepted(stream, admission, close_requested);
                 yield_now().await; // a burst of connections takes turns with those already open
             }
             Err(error) => {
@@ -43,8 +55,25 @@
         }
     }
 
+    /// Waits for a slot, for which connections that move nothing give way. Where that takes too long for the clients in the
+    /// queue, they are refused.
+    async fn admit(&self) -> Admission {
+        let patience = if self.lacks_slots.load(Ordering::Relaxed) { MIN_SLOT_WAIT } else { MAX_SLOT_WAIT };
+        let slot = timeout(patience, self.acquire_slot()).await;
+        self.lacks_slots.store(slot.is_err(), Ordering::Relaxed);
+        match slot {
+            Ok(slot) => Admission::Serve(slot),
+            Err(_) => Admission::Refuse(self.refusals.acquire().await),
+        }
+    }
+
     /// Waits for a slot, for which connections that move nothing give way.
     async fn acquire_slot(&self) -> OwnedSemaphorePermit {
+        // Above the target, released slots belong to the other process of this node.
+        while !self.capacity.clients.reclaim() {
+            self.evict_still();
+            sleep(ACCEPT_RETRY_DELAY).await;
+        }
         let slot = self.capacity.clients.acquire();
         tokio::pin!(slot);
         loop {
@@ -55,6 +84,32 @@
         }
     }
 
+    /// Serves or refuses an accepted connection.
+    fn handle_accepted(
+        self: &Arc<Self>, stream: TcpStream, admission: Admission, close_requested: &watch::Receiver<bool>,
+    ) {
+        match admission {
+            Admission::Serve(slot) if self.capacity.process_memory.allows(Purpose::Connection) => {
+                self.spawn_connection(stream, slot, close_requested);
+            }
+            Admission::Serve(slot) => self.refuse_unread(stream, slot, "no memory for a connection"),
+            Admission::Refuse(slot) => self.refuse_unread(stream, slot, "no slot for a connection"),
+        }
+    }
+
+    /// Refuses what comes on a connection, whatever it is.
+    fn refuse_unread(&self, stream: TcpStream, slot: OwnedSemaphorePermit, reason: &str) {
+        self.refuse_for_memory(reason);
+        tokio::spawn(async move {
+            // A new connection has room for the response as soon as the runtime knows of it; an error ends it.
+            let _ = timeout(LINGER_WHEN_FULL, stream.writable()).await;
+            let _ = stream.try_write(REFUSAL);
+            let _ = SockRef::from(&stream).shutdown(Shutdown::Write);
+            let _ = timeout(LINGER_WHEN_FULL, read_until_closed(&stream, DISCARD_READS_WHEN_MALFORMED)).await;
+            drop(slot);
+        });
+    }
+
     /// Serves a connection in a task of its own, which holds the slot until the connection is closed.
     fn spawn_connection(
         self: &Arc<Self>, stream: TcpStream, slot: OwnedSemaphorePermit,
@@ -95,12 +150,12 @@
         let _ = SockRef::from(&listener).listen(BACKLOG_WHILE_DRAINING);
         let Ok(listener) = listener.into_std() else { return };
         loop {
-            let slot = self.acquire_slot().await;
+            let admission = self.admit().await;
             match listener.accept().map(|(stream, _)| stream) {
                 Ok(stream) => {
                     let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
                     if let Ok(stream) = stream {
-                        self.spawn_connection(stream, slot, close_requested);
+                        self.handle_accepted(stream, admission, close_requested);
                     }
                 }
                 Err(error) if matches!(error.kind(), ConnectionAborted | Interrupted) => {}
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -33,7 +33,7 @@
     buffer_body, BodyError, BodyPrefix, BufferBudget, BufferReservation, BufferedBody, InputClock, OnTimeout,
     Upload, WithoutMemory,
 };
-use crate::capacity::Capacity;
+use crate::capacity::{Capacity, Slots};
 use crate::clock::Clock;
 use crate::configuration::TenantRef;
 use crate::connection_timeouts::{CloseReason, ConnectionTimeouts};
@@ -56,6 +56,7 @@
 mod stall;
 mod stats;
 
+use accept::REFUSAL_SLOTS;
 use active_request::{ActiveRequest, CancelOnDrop};
 use connection::ConnectionEnd;
 use eviction::status_of;
@@ -94,6 +95,8 @@
     next_id: AtomicU64,
     stalls: StallDetector,
     stats: ConnectionStats,
+    lacks_slots: AtomicBool, // a client has waited for a slot in vain
+    refusals: Arc<Slots>,
     open: OpenConnections, // those that have not ended, without those that only wait for the close
 }
 
@@ -115,6 +118,8 @@
             next_id: AtomicU64::new(0),
             stalls: StallDetector::new(clock.now()),
             stats: ConnectionStats::default(),
+            lacks_slots: AtomicBool::new(false),
+            refusals: Slots::new(REFUSAL_SLOTS),
             open: OpenConnections::default(),
         }
     }
--- a/crates/node/src/memory.rs
+++ b/crates/node/src/memory.rs
@@ -10,7 +10,7 @@
 /// Memory of a process beside its heap: program, stacks and runtime.
 const PROCESS_BYTES: usize = 6 << 20;
 /// Memory that a process leaves to its successor, which starts beside it.
-const SUCCESSOR_BYTES: usize = 7 << 20;
+const SUCCESSOR_BYTES: usize = 9 << 20;
 /// Parts of the resident heap of which the allocator keeps one in gaps.
 const GAP_DIVISOR: usize = 8;
 /// Fewer bytes of heap would keep a node from serving at all.
--- a/crates/node/tests/unit/input_clock.rs
+++ b/crates/node/tests/unit/input_clock.rs
@@ -16,6 +16,9 @@
     assert_eq!(clock.last_byte_since(), None, "the client owes the next bytes");
     clock.timeouts.read_attempted(2_000, true);
     assert_eq!(clock.last_byte_since(), Some(START + 2_000), "the client was waited for");
+    clock.ended();
+    clock.timeouts.read_attempted(2_100, false);
+    assert_eq!(clock.last_byte_since(), Some(START + 2_000), "the next request is waited for");
 }
 
 #[test]
