Close a connection that gives way only when its last response is written

Callers: a client that was refused or answered while its connection was to give way got a close without an answer.

Cause: the connection was closed as soon as no request was in progress, which is when its response has been handed to the library, not when it has been written.

Change: it is closed when nothing has moved on it for 50 ms after its last response. A streamed upload whose client owes bytes gives way as well, with 503, if it certainly never ran: it kept its slot for 2 s.

--- a/crates/node/src/connection_timeouts.rs
+++ b/crates/node/src/connection_timeouts.rs
@@ -171,12 +171,17 @@
     pub fn still_for(&self, now: Nanos) -> Option<Nanos> {
         let load = |at: &AtomicU64| at.load(Ordering::Relaxed);
         let is_served = self.request_active.load(Ordering::Relaxed) && !self.has_partial_request();
-        if is_served || self.write_blocked.load(Ordering::Relaxed) || self.evicted.load(Ordering::Relaxed) {
+        if is_served || self.write_blocked.load(Ordering::Relaxed) {
             return None;
         }
         Some(now.saturating_sub(load(&self.last_byte_at).max(load(&self.response_ended_at))))
     }
 
+    /// Returns whether the connection is to give way to others.
+    pub fn is_evicted(&self) -> bool {
+        self.evicted.load(Ordering::Relaxed)
+    }
+
     /// Has the connection give way to others.
     pub fn evict(&self) {
         self.evicted.store(true, Ordering::Relaxed);
--- a/crates/node/src/front/connection.rs
+++ b/crates/node/src/front/connection.rs
@@ -6,6 +6,8 @@
 const DRAINING_IDLE_TIMEOUT: Nanos = 500_000_000;
 /// Interval between checks whether a partially received request is complete.
 const PARTIAL_REQUEST_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time without a byte after which a response that was handed to the connection has been written.
+const RESPONSE_WRITE_TIME: Nanos = 50_000_000;
 /// Bytes of a request that a connection buffers: the buffers of all slots together must fit in memory.
 pub(super) const MAX_BUFFER_BYTES: usize = 16 << 10;
 
@@ -50,7 +52,7 @@
                 }
                 tokio::select! {
                     () = sleep(Duration::from_nanos(time_left.min(timeouts.poll_interval()))) => {}
-                    () = evicted_without_request(&timeouts) => return CloseReason::Evicted,
+                    () = evicted_between_requests(&timeouts, now) => return CloseReason::Evicted,
                     _ = drain.wait_for(|started| *started), if !timeouts.is_draining() => {
                         timeouts.drain_started(now());
                     }
@@ -144,11 +146,13 @@
     }
 }
 
-/// Waits until the connection is to give way to others and no request on it is owed an answer. A request that is being
-/// received is refused by its handler.
-async fn evicted_without_request(timeouts: &ConnectionTimeouts) {
+/// Waits until the connection is to give way to others and no request on it is owed an answer: a last response has had
+/// time to be written. A request that is being received is refused by its handler.
+async fn evicted_between_requests(timeouts: &ConnectionTimeouts, now: impl Fn() -> Nanos) {
     timeouts.wait_for_eviction().await;
-    while !timeouts.has_no_request() {
+    while !timeouts.has_no_request()
+        || timeouts.still_for(now()).is_none_or(|still| still < RESPONSE_WRITE_TIME)
+    {
         sleep(PARTIAL_REQUEST_POLL_INTERVAL).await;
     }
 }
--- a/crates/node/src/front/eviction.rs
+++ b/crates/node/src/front/eviction.rs
@@ -84,3 +84,12 @@
         BodyError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
+
+/// Waits until a streamed request is to give way to others. One whose client owes no bytes, or that may have run, does not.
+pub(super) async fn evicted_upload(timeouts: &ConnectionTimeouts, upload: Option<&Arc<Upload>>) {
+    let Some(upload) = upload else { return pending().await };
+    timeouts.wait_for_eviction().await;
+    if upload.may_have_run() || !timeouts.is_input_empty() {
+        pending().await
+    }
+}
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -59,7 +59,7 @@
 use accept::REFUSAL_SLOTS;
 use active_request::{ActiveRequest, CancelOnDrop};
 use connection::ConnectionEnd;
-use eviction::status_of;
+use eviction::{evicted_upload, status_of};
 pub use listener::ClientListener;
 use listener::BACKLOG;
 use open_connections::OpenConnections;
@@ -347,6 +347,9 @@
             biased;
             never = upload_read => never,
             reply = reply => reply.unwrap_or(Reply::Failed),
+            () = evicted_upload(timeouts, upstream_request.upload()) => {
+                return Err(self.refuse_for_memory("its upload moves nothing"));
+            }
             // Any status will do: no client is left to read it.
             () = active_request.wait_for_disconnect() => return Err(StatusCode::BAD_REQUEST),
         };
--- a/crates/node/src/front/open_connections.rs
+++ b/crates/node/src/front/open_connections.rs
@@ -38,7 +38,8 @@
     /// there was one.
     pub(super) fn evict_longest_still(&self, limit: Nanos) -> bool {
         let connections = self.lock();
-        let still = connections.values().filter_map(|open| {
+        let present = connections.values().filter(|open| !open.timeouts.is_evicted());
+        let still = present.filter_map(|open| {
             let now = open.accepted_at.elapsed().as_nanos() as Nanos;
             Some((open.timeouts.still_for(now)?, &open.timeouts))
         });
