Take bytes that the library holds for bytes of the client that is not waited for

Cause: the last read of the client's socket found nothing, because the library had read the whole body ahead while the server held up the upload; the record took the client for one that owes bytes.

Change: a client owes bytes only while the connection to the server waits for them too.

--- a/crates/node/src/body/input_clock.rs
+++ b/crates/node/src/body/input_clock.rs
@@ -55,10 +55,11 @@
     }
 
     /// Returns the earliest time at which the last byte may have been written. `None`: it certainly was not yet.
-    pub fn last_byte_since(&self) -> Option<Nanos> {
+    /// `is_awaited` is whether the next bytes of the body are waited for.
+    pub fn last_byte_since(&self, is_awaited: bool) -> Option<Nanos> {
         let input_since = self.accepted_at + self.timeouts.input_since();
         let first_unread = self.end().saturating_sub(MAX_UNREAD_BYTES);
-        let owes_bytes = self.timeouts.is_input_empty() && !self.has_ended;
+        let owes_bytes = is_awaited && self.timeouts.is_input_empty() && !self.has_ended;
         if self.read < first_unread || owes_bytes {
             return None;
         }
--- a/crates/node/src/body/upload.rs
+++ b/crates/node/src/body/upload.rs
@@ -144,7 +144,8 @@
     pub async fn wait_until_overdue(&self, limit: Nanos) {
         loop {
             let now = self.clock.now();
-            let last_byte_since = self.lock().input.last_byte_since();
+            let is_awaited = self.awaits_client.load(Ordering::Relaxed);
+            let last_byte_since = self.lock().input.last_byte_since(is_awaited);
             let due = last_byte_since.map_or(now + limit, |since| (since + limit).min(self.answer_by));
             if due <= now {
                 return;
