Judge clients of the lab on a thread of their own, and let crowds write without preparing it

Change: stopped uploads are written from one buffer, judged clients have their own thread and connect when they can write.

--- a/crates/lab/src/peer_faults/crowd.rs
+++ b/crates/lab/src/peer_faults/crowd.rs
@@ -22,10 +22,10 @@
 /// Time between two exchanges of one client.
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// Plays all peers of the scenario until `end`.
-pub async fn play(scenario: &Scenario, to: SocketAddr, end: Instant, ledger: Arc<Ledger>) {
+/// Plays those peers of the scenario until `end` whose exchanges are judged, or the others.
+pub async fn play(scenario: &Scenario, judged: bool, to: SocketAddr, end: Instant, ledger: Arc<Ledger>) {
     let mut clients = JoinSet::new();
-    for (peers, count) in &scenario.peers {
+    for (peers, count) in scenario.peers.iter().filter(|(peers, _)| peers.are_judged() == judged) {
         for _ in 0..*count {
             let client = CrowdClient { to, deadline: scenario.deadline(), ledger: ledger.clone() };
             // A client that holds a connection gives it up at the end; others come to their own.
@@ -72,10 +72,7 @@
         let mut stream = connect(self.to, &self.ledger).await;
         let mut read_piece = (READ_PIECE, Duration::ZERO);
         let written = match peers {
-            Peers::StoppedUpload { length, sent } => {
-                let whole = self.request(ServerTask::default(), length);
-                write(&mut stream, &whole[..whole.len() - (length - sent)]).await
-            }
+            Peers::StoppedUpload { length, sent } => self.write_part(&mut stream, length, sent).await,
             Peers::PiecewiseUpload { length, piece, over_ms } => {
                 self.write_in_pieces(&mut stream, length, piece, Duration::from_millis(over_ms)).await
             }
@@ -105,6 +102,20 @@
         request(self.ledger.new_id(), &task, self.deadline, length)
     }
 
+    /// Writes the head of a request of this length, and the first `sent` bytes of its body.
+    async fn write_part(
+        &self, stream: &mut TcpStream, length: usize, sent: usize,
+    ) -> std::io::Result<Instant> {
+        const PIECE: [u8; 16 << 10] = [b'x'; 16 << 10];
+        let framing = format!("Content-Length: {length}\r\n");
+        let head = request_head(self.ledger.new_id(), &ServerTask::default(), self.deadline, &framing);
+        let mut at = write(stream, head.as_bytes()).await?;
+        for start in (0..sent).step_by(PIECE.len()) {
+            at = write(stream, &PIECE[..PIECE.len().min(sent - start)]).await?;
+        }
+        Ok(at)
+    }
+
     async fn write_in_pieces(
         &self, stream: &mut TcpStream, length: usize, piece: usize, over: Duration,
     ) -> std::io::Result<Instant> {
@@ -121,13 +132,13 @@
 
     /// A long request whose server reads slowly: its final answer is due as that of any request.
     async fn slow_server_read(&self, length: usize, is_chunked: bool, read_rate: usize) {
-        let mut stream = connect(self.to, &self.ledger).await;
         let task = ServerTask { answer: 10, read_rate, ..ServerTask::default() };
         let id = self.ledger.new_id();
         let text = match is_chunked {
             false => request(id, &task, self.deadline, length),
             true => chunked_request(id, &task, self.deadline, length),
         };
+        let mut stream = connect(self.to, &self.ledger).await;
         let sent = match write(&mut stream, &text).await {
             Ok(sent) => sent,
             Err(_) => Instant::now(), // answered before its last byte
@@ -141,7 +152,12 @@
                     self.ledger.report(format!("{what} answered {status} after {} ms", wait.as_millis()));
                 }
             }
-            Ok(None) | Err(_) => self.ledger.report(format!("{what} got no answer")),
+            Ok(None) => {
+                self.ledger.report(format!("{what} closed without an answer after {:?}", sent.elapsed()))
+            }
+            Err(error) => {
+                self.ledger.report(format!("{what} got no answer within {:?}: {error}", sent.elapsed()));
+            }
         }
     }
 
--- a/crates/lab/src/peer_faults/mod.rs
+++ b/crates/lab/src/peer_faults/mod.rs
@@ -44,10 +44,11 @@
     let processes = NodeProcesses::start(scenario, command, &servers)?;
     let address = processes.address();
     let end = Instant::now() + Duration::from_secs_f64(scenario.seconds);
-    let crowd = {
+    // On a thread of their own, judged clients are not held up by a crowd.
+    let [crowd, judged] = [false, true].map(|judged| {
         let (scenario, ledger) = (scenario.clone(), ledger.clone());
-        thread::spawn(move || in_runtime(crowd::play(&scenario, address, end, ledger)))
-    };
+        thread::spawn(move || in_runtime(crowd::play(&scenario, judged, address, end, ledger)))
+    });
     let steady = {
         let (scenario, ledger) = (scenario.clone(), ledger.clone());
         thread::spawn(move || in_runtime(steady::play(&scenario, address, end, ledger)))
@@ -55,6 +56,7 @@
     let restarts = processes.play_restarts(scenario, command, ledger.clone());
     let stopped = |_| "a thread of the lab panicked".to_owned();
     crowd.join().map_err(stopped)??;
+    judged.join().map_err(stopped)??;
     let waits = steady.join().map_err(stopped)??;
     thread::sleep(SETTLING_TIME);
     let restarted = restarts.end()?;
--- a/crates/lab/src/peer_faults/scenario.rs
+++ b/crates/lab/src/peer_faults/scenario.rs
@@ -73,6 +73,13 @@
     Leaver { requests: usize, resets: bool, returns: bool },
 }
 
+impl Peers {
+    /// Returns whether the lab judges how the node treats them, beside what they do to others.
+    pub fn are_judged(self) -> bool {
+        matches!(self, Peers::SlowServerRead { .. } | Peers::SlowServerWrite { .. } | Peers::Leaver { .. })
+    }
+}
+
 /// A planned restart of the node.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Restart {
