--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -54,7 +54,7 @@
 
 /// Time beyond that of the client at which a streamed request ends whose last byte may have been written long ago. An
 /// answer may come up to 0.5 s late, and the last byte may have been written later.
-const OVERDUE_MARGIN: Nanos = 300_000_000;
+const OVERDUE_MARGIN: Nanos = 200_000_000;
 
 /// A time that is never reached.
 pub const NEVER: Nanos = Nanos::MAX;
