--- a/crates/node/src/front/accept.rs
+++ b/crates/node/src/front/accept.rs
@@ -7,9 +7,8 @@
 const LINGER: Duration = Duration::from_secs(1);
 const LINGER_WHEN_FULL: Duration = Duration::from_millis(100); // the same while other clients wait for a slot
 /// Time for which clients in the accept queue wait for a slot before they are refused: well below the time of a request.
-/// It counts from when the queue was last empty, as nobody in it has waited longer.
 const MAX_SLOT_WAIT: Duration = Duration::from_millis(200);
-/// Shortest wait for a slot, in which one that is free is found.
+/// The same once one of them has waited in vain.
 const MIN_SLOT_WAIT: Duration = Duration::from_millis(2);
 /// Connections that are refused at once; their descriptors are among the reserved ones.
 pub(super) const REFUSAL_SLOTS: usize = 8;
@@ -44,20 +43,7 @@
             increment(&self.stats.full);
         }
         let admission = self.admit().await;
-        let queued = tokio::select! {
-            biased;
-            accepted = listener.accept() => Some(accepted),
-            () = std::future::ready(()) => None,
-        };
-        let accepted = match queued {
-            Some(accepted) => accepted,
-            None => {
-                let accepted = listener.accept().await;
-                self.queue_empty_at.store(self.clock.now(), Ordering::Relaxed);
-                accepted
-            }
-        };
-        match accepted {
+        match listener.accept().await {
             Ok((stream, _)) => {
                 self.handle_accepted(stream, admission, close_requested);
                 yield_now().await; // a burst of connections takes turns with those already open
@@ -72,9 +58,10 @@
     /// Waits for a slot, for which connections that move nothing give way. Where that takes too long for the clients in the
     /// queue, they are refused.
     async fn admit(&self) -> Admission {
-        let queued_for = self.clock.now().saturating_sub(self.queue_empty_at.load(Ordering::Relaxed));
-        let patience = MAX_SLOT_WAIT.saturating_sub(Duration::from_nanos(queued_for)).max(MIN_SLOT_WAIT);
-        match timeout(patience, self.acquire_slot()).await {
+        let patience = if self.lacks_slots.load(Ordering::Relaxed) { MIN_SLOT_WAIT } else { MAX_SLOT_WAIT };
+        let slot = timeout(patience, self.acquire_slot()).await;
+        self.lacks_slots.store(slot.is_err(), Ordering::Relaxed);
+        match slot {
             Ok(slot) => Admission::Serve(slot),
             Err(_) => Admission::Refuse(self.refusals.acquire().await),
         }
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -95,7 +95,7 @@
     next_id: AtomicU64,
     stalls: StallDetector,
     stats: ConnectionStats,
-    queue_empty_at: AtomicU64, // when nobody waited to be accepted last
+    lacks_slots: AtomicBool, // a client has waited for a slot in vain
     refusals: Arc<Slots>,
     open: OpenConnections, // those that have not ended, without those that only wait for the close
 }
@@ -118,7 +118,7 @@
             next_id: AtomicU64::new(0),
             stalls: StallDetector::new(clock.now()),
             stats: ConnectionStats::default(),
-            queue_empty_at: AtomicU64::new(clock.now()),
+            lacks_slots: AtomicBool::new(false),
             refusals: Slots::new(REFUSAL_SLOTS),
             open: OpenConnections::default(),
         }
