Count no descriptors of the lab as those of a node that has just started

Cause: a spawn returns once the kernel has replaced the child's memory and before it has closed the descriptors that the child inherits and is to lose.

Change: usage counts once the process no longer runs the shell that sets its limit: the shell only begins when those descriptors are closed. The check itself stays as strict: a node is looked at from its first instruction on.

--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -11,6 +11,9 @@
 /// Clock ticks per second in which the kernel reports processor time; `USER_HZ` is 100 on all common Linux systems.
 const TICKS_PER_SECOND: f64 = 100.0;
 
+/// Start of the script of the shell that sets a node's limit and replaces itself with the node.
+const LIMIT_COMMAND: &str = "ulimit -n";
+
 /// Command that starts a node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NodeCommand {
@@ -64,9 +67,9 @@
         let mut options = std::fs::OpenOptions::new();
         let written = options.create(true).append(true).open(&log).map_err(|error| describe("log", error))?;
         let stderr_log = written.try_clone().map_err(|error| describe("log", error))?;
-        // A shell sets the limit and replaces itself with the node, so that the process id is the node's.
+        // The shell replaces itself, so that the process id is the node's.
         let child = Command::new("/bin/sh")
-            .args(["-c", &format!("ulimit -n {sockets}; exec \"$0\" \"$@\"")])
+            .args(["-c", &format!("{LIMIT_COMMAND} {sockets}; exec \"$0\" \"$@\"")])
             .args(&command.words)
             .env_remove("TMPDIR") // nodes have the same names in every run and must not share files there
             .env("BALANCER_CONFIG", &file)
@@ -120,9 +123,10 @@
         tokio::time::timeout(limit, self.child.wait()).await.ok().and_then(Result::ok)
     }
 
-    /// Samples the resource usage and returns the maximum of all samples.
+    /// Samples the resource usage and returns the maximum of all samples. What is the shell's is not counted.
     pub fn look(&mut self) -> &Usage {
-        if let Some(now) = usage(self.id) {
+        let usage = Some(self.id).filter(|&id| has_replaced_shell(id)).and_then(usage);
+        if let Some(now) = usage {
             self.peak.memory_mb = self.peak.memory_mb.max(now.memory_mb);
             self.peak.descriptors = self.peak.descriptors.max(now.descriptors);
             self.peak.cpu_s = self.peak.cpu_s.max(now.cpu_s);
@@ -144,6 +148,15 @@
     }
 }
 
+/// Returns whether the process runs the node's program. Until its shell has begun, the kernel may not have closed the
+/// descriptors that the process has inherited from this one.
+fn has_replaced_shell(id: u32) -> bool {
+    // Empty until the shell's program is in place.
+    let arguments = std::fs::read(format!("/proc/{id}/cmdline")).unwrap_or_default();
+    let script = arguments.split(|&byte| byte == 0).nth(2).unwrap_or_default();
+    !arguments.is_empty() && !script.starts_with(LIMIT_COMMAND.as_bytes())
+}
+
 /// Peak memory, open descriptors and processor time of a process, from /proc.
 fn usage(id: u32) -> Option<Usage> {
     let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
