Look for connections that can give way before refusing a client that has no slot

Callers: beside a crowd, requests on new connections waited seconds in the accept queue: at 48 MB and 384 descriptors, 340 uploads that stop half way, 20 requests were never answered or 1.41 to 1.49 s late at 0.6 s.

Cause: once one client had waited for a slot in vain, the next wait was 2 ms, and connections that move nothing were first looked for after 10 ms: nothing gave way any more. Refusals took up to 0.2 s each, eight at once, for as long as the client kept sending.

Change: who waits for a slot has others give way at once. A refused client whose request is read is closed with its answer; others are read on for 20 ms. A connection that only waits for its client's close gives its slot back where memory bounds the slots, as it holds a descriptor alone.

--- a/crates/node/src/capacity.rs
+++ b/crates/node/src/capacity.rs
@@ -12,17 +12,21 @@
 pub const MAX_CONSOLE_CONNECTIONS: usize = 16;
 const CLIENT_DESCRIPTORS_DIVISOR: usize = 3; // clients may use a third of the descriptors
 const BODY_MEMORY_DIVISOR: usize = 4; // bodies never use more than a quarter of the memory
-/// Parts of the heap, in percent, for the connections of clients and for bodies. The rest is for connections to servers,
-/// heads, attempts and what the process keeps of its own.
+/// Parts of the heap, in percent, for the connections of clients with those to servers that they use, and for buffered
+/// bodies. The rest is for long heads, idle connections and what the process keeps of its own.
 const CLIENT_HEAP_PERCENT: usize = 45;
 const BODY_HEAP_PERCENT: usize = 20;
-/// Heap of a client's connection on which a request is being received: its buffers, its tasks and an ordinary head.
+/// Heap of a client's connection while a long body passes through: the buffers and tasks of this connection and of the one
+/// to the server, and what is between the two. A buffered body comes instead of the latter.
 const CLIENT_BYTES: usize = 27 << 10;
 const MIN_CLIENTS: usize = 32; // fewer would keep a node from serving at all
 /// Descriptors that a successor opens before its predecessor has released any: log, state, discovery, one console
 /// connection.
 const SUCCESSOR_STARTUP_DESCRIPTORS: usize = 16;
 const MIN_SERVER_CONNECTIONS: usize = 4; // fewer would keep a node from serving at all
+/// Connections that may be closing although all descriptors for clients are those of slots; theirs are among the reserved
+/// ones.
+const MIN_CLOSING_CONNECTIONS: usize = 8;
 /// Descriptors for everything but clients and servers: listeners, peers, discovery, runtime, log, console connections.
 pub const RESERVED_DESCRIPTORS: usize = 16 + MAX_CONSOLE_CONNECTIONS;
 /// Bytes in one slot of the capacity for buffered bodies.
@@ -185,6 +189,13 @@
     }
 }
 
+/// Returns how many connections a process may be closing: its half of the descriptors that clients may hold beyond those
+/// that memory allows.
+fn closing_connections(sockets: usize, memory: usize) -> usize {
+    let slots = Allocation::new(sockets, memory, false).clients;
+    (sockets / CLIENT_DESCRIPTORS_DIVISOR).saturating_sub(slots) / 2 + MIN_CLOSING_CONNECTIONS
+}
+
 /// The resource limits of a process.
 #[derive(Clone, Debug)]
 pub struct Capacity {
@@ -194,6 +205,8 @@
     pub servers: Arc<Slots>,
     /// Memory for buffered bodies, in units of [`BODY_UNIT_BYTES`].
     pub bodies: Arc<Slots>,
+    /// Connections whose clients only read their last response: a descriptor each, and no memory.
+    pub closing: Arc<Slots>,
     /// All memory of the process.
     pub process_memory: Arc<Memory>,
     sockets: usize,
@@ -208,6 +221,7 @@
             clients: Slots::new(clients),
             servers: Slots::new(servers),
             bodies: Slots::new(bodies),
+            closing: Slots::new(closing_connections(sockets, memory)),
             process_memory: Memory::new(memory, None),
             sockets,
             memory,
--- a/crates/node/src/front/accept.rs
+++ b/crates/node/src/front/accept.rs
@@ -9,9 +9,9 @@
 /// Time for which clients in the accept queue wait for a slot before they are refused: well below the time of a request.
 const MAX_SLOT_WAIT: Duration = Duration::from_millis(200);
 /// The same once one of them has waited in vain.
-const MIN_SLOT_WAIT: Duration = Duration::from_millis(2);
-/// Connections that are refused at once; their descriptors are among the reserved ones.
-pub(super) const REFUSAL_SLOTS: usize = 8;
+const MIN_SLOT_WAIT: Duration = Duration::from_millis(1);
+/// Time to read on behind a refusal: others wait for theirs.
+const REFUSED_LINGER: Duration = Duration::from_millis(20);
 /// The response on a connection that is not read.
 const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 /// Time between two rounds of discarding what a client sends after its last response.
@@ -63,7 +63,7 @@
         self.lacks_slots.store(slot.is_err(), Ordering::Relaxed);
         match slot {
             Ok(slot) => Admission::Serve(slot),
-            Err(_) => Admission::Refuse(self.refusals.acquire().await),
+            Err(_) => Admission::Refuse(self.capacity.closing.acquire().await),
         }
     }
 
@@ -77,10 +77,12 @@
         let slot = self.capacity.clients.acquire();
         tokio::pin!(slot);
         loop {
+            if self.capacity.clients.free() == 0 {
+                self.evict_still();
+            }
             if let Ok(slot) = timeout(ACCEPT_RETRY_DELAY, slot.as_mut()).await {
                 return slot;
             }
-            self.evict_still();
         }
     }
 
@@ -105,7 +107,10 @@
             let _ = timeout(LINGER_WHEN_FULL, stream.writable()).await;
             let _ = stream.try_write(REFUSAL);
             let _ = SockRef::from(&stream).shutdown(Shutdown::Write);
-            let _ = timeout(LINGER_WHEN_FULL, read_until_closed(&stream, DISCARD_READS_WHEN_MALFORMED)).await;
+            // Behind a request that is read whole, a close resets nothing.
+            if discard_input(&stream, DISCARD_READS) != Discarded::All {
+                let _ = timeout(REFUSED_LINGER, read_until_closed(&stream, DISCARD_READS)).await;
+            }
             drop(slot);
         });
     }
@@ -134,12 +139,19 @@
                 ConnectionEnd::Malformed => DISCARD_READS_WHEN_MALFORMED,
                 ConnectionEnd::Orderly | ConnectionEnd::Cut => DISCARD_READS,
             };
-            let linger = if front.capacity.clients.free() == 0 { LINGER_WHEN_FULL } else { LINGER };
+            let is_full = front.capacity.clients.free() == 0;
+            let slot = front.exchange_for_closing(slot);
+            let linger = if is_full { LINGER_WHEN_FULL } else { LINGER };
             let _ = timeout(linger, read_until_closed(&stream, reads)).await;
             drop(slot);
         });
     }
 
+    /// Frees the slot of a connection that is only to be closed, if there is a descriptor for it elsewhere.
+    fn exchange_for_closing(&self, slot: OwnedSemaphorePermit) -> OwnedSemaphorePermit {
+        self.capacity.closing.try_acquire(1).unwrap_or(slot)
+    }
+
     /// Accepts all connections that the kernel has queued, which clients take for accepted, and closes the listener as
     /// soon as the queue is empty: a connection that arrives between the two would be reset.
     pub(super) async fn drain_backlog(
@@ -173,23 +185,35 @@
 /// the kernel, so that a client that sends at full speed is held back by its own connection.
 async fn read_until_closed(stream: &TcpStream, reads: usize) {
     while stream.readable().await.is_ok() {
-        if discard_input(stream, reads).is_break() {
+        if discard_input(stream, reads) == Discarded::End {
             return;
         }
         sleep(DISCARD_INTERVAL).await;
     }
 }
 
-/// Discards what has arrived, at most `reads` times [`DISCARD_BYTES`]. Breaks at the end of the connection.
-fn discard_input(stream: &TcpStream, reads: usize) -> ControlFlow<()> {
+/// What one round of discarding found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Discarded {
+    /// The end of the connection.
+    End,
+    /// Bytes, and nothing behind them.
+    All,
+    /// Nothing, or more than one round reads.
+    NothingOrMore,
+}
+
+/// Discards what has arrived, at most `reads` times [`DISCARD_BYTES`].
+fn discard_input(stream: &TcpStream, reads: usize) -> Discarded {
     let mut buffer = [0; DISCARD_BYTES];
-    for _ in 0..reads {
+    for round in 0..reads {
         match stream.try_read(&mut buffer) {
-            Ok(0) => return ControlFlow::Break(()),
+            Ok(0) => return Discarded::End,
             Ok(_) => {}
-            Err(error) if is_transient(&error) => return ControlFlow::Continue(()),
-            Err(_) => return ControlFlow::Break(()),
+            Err(error) if is_transient(&error) && round > 0 => return Discarded::All,
+            Err(error) if is_transient(&error) => return Discarded::NothingOrMore,
+            Err(_) => return Discarded::End,
         }
     }
-    ControlFlow::Continue(())
+    Discarded::NothingOrMore
 }
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -5,7 +5,6 @@
 use std::io;
 use std::io::ErrorKind::{ConnectionAborted, Interrupted, WouldBlock};
 use std::net::{Shutdown, SocketAddr};
-use std::ops::ControlFlow;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -33,7 +32,7 @@
     buffer_body, BodyError, BodyPrefix, BufferBudget, BufferReservation, BufferedBody, InputClock, OnTimeout,
     Upload, WithoutMemory,
 };
-use crate::capacity::{Capacity, Slots};
+use crate::capacity::Capacity;
 use crate::clock::Clock;
 use crate::configuration::TenantRef;
 use crate::connection_timeouts::{CloseReason, ConnectionTimeouts};
@@ -56,7 +55,6 @@
 mod stall;
 mod stats;
 
-use accept::REFUSAL_SLOTS;
 use active_request::{ActiveRequest, CancelOnDrop};
 use connection::ConnectionEnd;
 use eviction::{evicted_upload, status_of};
@@ -96,7 +94,6 @@
     stalls: StallDetector,
     stats: ConnectionStats,
     lacks_slots: AtomicBool, // a client has waited for a slot in vain
-    refusals: Arc<Slots>,
     open: OpenConnections, // those that have not ended, without those that only wait for the close
 }
 
@@ -119,7 +116,6 @@
             stalls: StallDetector::new(clock.now()),
             stats: ConnectionStats::default(),
             lacks_slots: AtomicBool::new(false),
-            refusals: Slots::new(REFUSAL_SLOTS),
             open: OpenConnections::default(),
         }
     }
@@ -193,7 +189,7 @@
         let answers_begun_by = self.answers_begun_by();
         let all_ended = async {
             // Once all answers have begun, connections that only wait for the client to close are not waited for.
-            while self.capacity.clients.in_use() > 0
+            while self.capacity.clients.in_use() + self.capacity.closing.in_use() > 0
                 && (self.clock.now() < answers_begun_by || self.open.count() > 0)
             {
                 sleep(SETTLE_INTERVAL).await;
