Pass long answers on however short memory is, and cut those of too slow readers

Cause: an answer that had begun waited for the memory of its stream behind 47 others, while what it held already (library buffers, each piece with the 16 KiB it was read into) was 62 KiB and more and counted nowhere. Attempts were refused from 88% of the heap, but nothing gave way below 92%, and a client that reads too slowly never did.

Change: an answer no longer waits. A piece is taken from the server only when the client's connection takes bytes, and one read is under 8 KiB, so that no piece keeps more. From 80% of the heap, or where a client waits for a slot, connections give way that move nothing, then those whose client reads under 48 kB/s (it may read 64) since it first held its answer up, with 96 KiB of allowance for the steps in which kernels make room. Such an answer ends without a proper end; `slow_readers` in the line `memory` counts them.

The first 2 s still refuse: a reader shows as slow only then.

--- a/crates/lab/src/peer_faults/command.rs
+++ b/crates/lab/src/peer_faults/command.rs
@@ -19,6 +19,15 @@
     /// Play this fixed scenario instead of drawn ones; `all` plays each of them.
     #[arg(long, value_name = "NAME")]
     picture: Option<String>,
+    /// Number of clients of each kind in the crowd of a fixed scenario.
+    #[arg(long, requires = "picture")]
+    clients: Option<usize>,
+    /// Memory of the node in a fixed scenario, in MiB.
+    #[arg(long, requires = "picture")]
+    memory_mb: Option<u32>,
+    /// Descriptors of the node in a fixed scenario.
+    #[arg(long, requires = "picture")]
+    sockets: Option<usize>,
     /// Time for which clients send in each run, in seconds.
     #[arg(long, default_value_t = 8.0)]
     seconds: f64,
@@ -68,7 +77,8 @@
         }
         Some(wanted) => {
             let names = PICTURES.iter().filter(|name| wanted == "all" || **name == wanted);
-            let found: Vec<_> = names.filter_map(|name| Some(((*name).to_owned(), picture(name)?))).collect();
+            let adjusted = |name: &str| Some((name.to_owned(), adjust(picture(name)?, options)));
+            let found: Vec<_> = names.filter_map(|name| adjusted(name)).collect();
             if found.is_empty() {
                 return Err(format!("--picture: no {wanted:?}; there are {}", PICTURES.join(", ")));
             }
@@ -76,3 +86,13 @@
         }
     }
 }
+
+/// Replaces what the options name in a fixed scenario.
+fn adjust(mut scenario: Scenario, options: &PeerFaults) -> Scenario {
+    scenario.memory_mb = options.memory_mb.unwrap_or(scenario.memory_mb);
+    scenario.sockets = options.sockets.unwrap_or(scenario.sockets);
+    if let Some(clients) = options.clients {
+        scenario.peers.iter_mut().for_each(|(_, count)| *count = clients);
+    }
+    scenario
+}
--- a/crates/lab/src/peer_faults/crowd.rs
+++ b/crates/lab/src/peer_faults/crowd.rs
@@ -93,8 +93,37 @@
             }
             _ => return,
         };
-        if written.is_ok() {
-            let _ = read_answer(&mut stream, PATIENCE, read_piece.0, read_piece.1).await;
+        let Ok(sent) = written else { return };
+        let answer = read_answer(&mut stream, PATIENCE, read_piece.0, read_piece.1).await;
+        if peers.send_whole_requests() {
+            self.judge(&format!("request of {peers:?}"), sent, answer);
+        }
+    }
+
+    /// Reports a request whose answer did not come in time, or not whole.
+    fn judge(&self, what: &str, sent: Instant, answer: std::io::Result<Option<Answer>>) {
+        let answer = match answer {
+            Ok(Some(answer)) => answer,
+            Ok(None) => {
+                return self
+                    .ledger
+                    .report(format!("{what} closed without an answer after {:?}", sent.elapsed()))
+            }
+            Err(error) => {
+                return self
+                    .ledger
+                    .report(format!("{what} got no answer within {:?}: {error}", sent.elapsed()))
+            }
+        };
+        let Answer { status, is_whole, is_held_back, head_at, .. } = answer;
+        let wait = head_at.saturating_duration_since(sent);
+        if wait > self.deadline + LATE_ANSWER {
+            self.ledger.report(format!("{what} answered {status} after {} ms", wait.as_millis()));
+        }
+        if is_held_back {
+            self.ledger.report(format!("the rest of the answer to {what} was held back"));
+        } else if !is_whole {
+            self.ledger.report_unless_killed(format!("the answer to {what} was cut"));
         }
     }
 
@@ -145,37 +174,22 @@
         };
         let answer = read_answer(&mut stream, PATIENCE, READ_PIECE, Duration::ZERO).await;
         let what = format!("request {id:016x} of {length} bytes to a server that reads {read_rate} B/s");
-        match answer {
-            Ok(Some(Answer { status, head_at, .. })) => {
-                let wait = head_at.saturating_duration_since(sent);
-                if wait > self.deadline + LATE_ANSWER {
-                    self.ledger.report(format!("{what} answered {status} after {} ms", wait.as_millis()));
-                }
-            }
-            Ok(None) => {
-                self.ledger.report(format!("{what} closed without an answer after {:?}", sent.elapsed()))
-            }
-            Err(error) => {
-                self.ledger.report(format!("{what} got no answer within {:?}: {error}", sent.elapsed()));
-            }
-        }
+        self.judge(&what, sent, answer);
     }
 
     /// A request whose server writes a long answer slowly: it comes whole.
-    async fn slow_server_write(&self, answer: usize, over_ms: u64, has_length: bool) {
+    async fn slow_server_write(&self, answer_length: usize, over_ms: u64, has_length: bool) {
         let mut stream = connect(self.to, &self.ledger).await;
         let id = self.ledger.new_id();
-        let task = ServerTask { answer, over_ms, has_no_length: !has_length, ..ServerTask::default() };
-        if write(&mut stream, &request(id, &task, self.deadline, 0)).await.is_err() {
-            return;
-        }
-        let read = read_answer(&mut stream, PATIENCE, READ_PIECE, Duration::ZERO).await;
-        let is_cut = matches!(read, Ok(Some(Answer { status: 200, is_whole: false, .. })));
-        if is_cut {
-            self.ledger.report_unless_killed(format!(
-                "answer {id:016x} of {answer} bytes over {over_ms} ms was cut"
-            ));
-        }
+        let task = ServerTask {
+            answer: answer_length,
+            over_ms,
+            has_no_length: !has_length,
+            ..ServerTask::default()
+        };
+        let Ok(sent) = write(&mut stream, &request(id, &task, self.deadline, 0)).await else { return };
+        let answer = read_answer(&mut stream, PATIENCE, READ_PIECE, Duration::ZERO).await;
+        self.judge(&format!("request {id:016x} for {answer_length} bytes over {over_ms} ms"), sent, answer);
     }
 }
 
--- a/crates/lab/src/peer_faults/exchange.rs
+++ b/crates/lab/src/peer_faults/exchange.rs
@@ -9,6 +9,8 @@
 
 /// Longest head of an answer in bytes.
 const MAX_HEAD: usize = 16 << 10;
+/// An answer whose rest is held back for this time is lost.
+const HOLD_LIMIT: Duration = Duration::from_secs(2);
 
 /// What the server is asked to do with a request: the query of its path.
 #[derive(Clone, Copy, Debug, Default)]
@@ -54,23 +56,26 @@
     pub status: u16,
     /// Whether the body came to its proper end.
     pub is_whole: bool,
+    /// Whether the rest of the body did not come in time.
+    pub is_held_back: bool,
     /// Whether the connection can carry another request.
     pub keeps_connection: bool,
     /// When the head was complete.
     pub head_at: Instant,
 }
 
-/// Reads an answer. `pause` is the time between two reads of the body, of `piece` bytes each. `None` is an end of the
-/// connection before the head.
+/// Reads an answer whose head has to come within `head_limit`. `pause` is the time between two reads of the body, of
+/// `piece` bytes each. `None` is an end of the connection before the head.
 pub async fn read_answer(
-    stream: &mut TcpStream, limit: Duration, piece: usize, pause: Duration,
+    stream: &mut TcpStream, head_limit: Duration, piece: usize, pause: Duration,
 ) -> io::Result<Option<Answer>> {
     let mut text = Vec::new();
     let head = loop {
         if let Some(end) = text.windows(4).position(|four| four == b"\r\n\r\n") {
             break end + 4;
         }
-        let read = timeout(limit, stream.read_buf(&mut text)).await.map_err(|_| io::ErrorKind::TimedOut)?;
+        let read =
+            timeout(head_limit, stream.read_buf(&mut text)).await.map_err(|_| io::ErrorKind::TimedOut)?;
         if read? == 0 || text.len() > MAX_HEAD {
             return Ok(None);
         }
@@ -84,6 +89,7 @@
     let mut body = text.split_off(head);
     let mut received = body.len();
     let mut buffer = vec![0; piece];
+    let mut is_held_back = false;
     let is_whole = loop {
         // The lab's servers end a body without chunks in it, so the last chunk cannot be mistaken.
         let has_last_chunk = is_chunked && body.ends_with(b"0\r\n\r\n");
@@ -91,7 +97,10 @@
             break true;
         }
         sleep(pause).await;
-        let read = timeout(limit, stream.read(&mut buffer)).await.map_err(|_| io::ErrorKind::TimedOut)?;
+        let Ok(read) = timeout(HOLD_LIMIT, stream.read(&mut buffer)).await else {
+            is_held_back = true;
+            break false;
+        };
         match read {
             Ok(0) => break length.is_none() && !is_chunked,
             Ok(count) => {
@@ -103,7 +112,7 @@
             Err(_) => break false,
         }
     };
-    Ok(Some(Answer { status, is_whole, keeps_connection, head_at }))
+    Ok(Some(Answer { status, is_whole, is_held_back, keeps_connection, head_at }))
 }
 
 /// Writes bytes and returns when the last one was accepted by the kernel; an error means that the node has answered or
--- a/crates/lab/src/peer_faults/scenario.rs
+++ b/crates/lab/src/peer_faults/scenario.rs
@@ -74,7 +74,15 @@
 }
 
 impl Peers {
-    /// Returns whether the lab judges how the node treats them, beside what they do to others.
+    /// Returns whether they send whole requests, at once: each is owed its answer in time.
+    pub fn send_whole_requests(self) -> bool {
+        matches!(
+            self,
+            Peers::LongExchange { .. } | Peers::SlowReader { .. } | Peers::ManyFields { is_whole: true, .. }
+        )
+    }
+
+    /// Returns whether they are played on the thread of the judged clients, which no crowd holds up.
     pub fn are_judged(self) -> bool {
         matches!(self, Peers::SlowServerRead { .. } | Peers::SlowServerWrite { .. } | Peers::Leaver { .. })
     }
--- a/crates/lab/src/peer_faults/server.rs
+++ b/crates/lab/src/peer_faults/server.rs
@@ -21,6 +21,8 @@
 const READ_BYTES: usize = 16 << 10;
 /// Pieces in which a slow answer is written.
 const ANSWER_PIECES: usize = 24;
+/// Bytes of an answer that are written at once.
+static ANSWER_BLOCK: [u8; 64 << 10] = [b'y'; 64 << 10];
 
 /// Guide servers on a thread of their own; the thread ends with the process.
 pub struct GuideServers {
@@ -148,15 +150,24 @@
         true => "Connection: close".to_owned(),
         false => format!("Content-Length: {}", task.answer),
     };
-    let body = vec![b'y'; task.answer];
-    let head = format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n");
-    if task.over.is_zero() {
-        return stream.write_all(&[head.as_bytes(), &body].concat()).await;
+    stream.write_all(format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n").as_bytes()).await?;
+    let is_slow = !task.over.is_zero();
+    let piece = if is_slow { task.answer.div_ceil(ANSWER_PIECES).max(1) } else { ANSWER_BLOCK.len() };
+    for start in (0..task.answer).step_by(piece) {
+        write_bytes(stream, piece.min(task.answer - start)).await?;
+        if is_slow {
+            sleep(task.over / ANSWER_PIECES as u32).await;
+        }
     }
-    stream.write_all(head.as_bytes()).await?;
-    for piece in body.chunks(task.answer.div_ceil(ANSWER_PIECES).max(1)) {
-        stream.write_all(piece).await?;
-        sleep(task.over / ANSWER_PIECES as u32).await;
+    Ok(())
+}
+
+/// Writes as many bytes, from one block that all answers share.
+async fn write_bytes(stream: &mut TcpStream, mut left: usize) -> std::io::Result<()> {
+    while left > 0 {
+        let count = left.min(ANSWER_BLOCK.len());
+        stream.write_all(&ANSWER_BLOCK[..count]).await?;
+        left -= count;
     }
     Ok(())
 }
--- a/crates/node/src/connection_timeouts.rs
+++ b/crates/node/src/connection_timeouts.rs
@@ -1,10 +1,14 @@
 //! Timeouts of a client connection: from the events on it, computes when to close it and why.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::task::{Context, Poll, Waker};
 
 use merlinfold_decide::interface::Nanos;
 use tokio::sync::Notify;
 
+use crate::read_progress::ReadProgress;
+
 /// Longest time without a request after the last response. The protocol allows a node to close after 2 s.
 const IDLE_TIMEOUT: Nanos = 2_100_000_000;
 /// Longest time from the first byte of a request head to its end. Clients may take 2 s.
@@ -37,6 +41,8 @@
     DrainLimit,
     /// Others need its slot or its memory, and it has moved nothing for a while.
     Evicted,
+    /// Others need its slot or its memory, and its client reads a response too slowly.
+    SlowReader,
 }
 
 /// The state of one connection; times are nanoseconds since it was accepted.
@@ -56,6 +62,8 @@
     eviction: Notify,
     input_empty: AtomicBool, // the last read found nothing
     input_since: AtomicU64,  // first read after one that found nothing
+    reading: ReadProgress,
+    writer: Mutex<Option<Waker>>, // waits until the client accepts bytes again
 }
 
 impl ConnectionTimeouts {
@@ -77,6 +85,8 @@
             eviction: Notify::new(),
             input_empty: AtomicBool::new(true),
             input_since: AtomicU64::new(0),
+            reading: ReadProgress::default(),
+            writer: Mutex::new(None),
         }
     }
 
@@ -126,16 +136,37 @@
     /// Records a write; `accepted` is false if it would have blocked.
     pub fn write_attempted(&self, now: Nanos, accepted: bool) {
         let was_blocked = self.write_blocked.swap(!accepted, Ordering::Relaxed);
+        if !accepted {
+            self.reading.held_up(now);
+        }
         if accepted || !was_blocked {
             self.last_byte_at.store(now, Ordering::Relaxed);
         }
         if accepted && was_blocked {
             self.response_ended_at.store(now, Ordering::Relaxed); // the client reads the end of the response only now
+            if let Some(writer) = self.writer.lock().unwrap_or_else(PoisonError::into_inner).take() {
+                writer.wake();
+            }
+        }
+    }
+
+    /// Records the number of bytes that a write has handed to the connection.
+    pub fn bytes_accepted(&self, count: usize) {
+        self.reading.bytes_accepted(count);
+    }
+
+    /// Polls until the client accepts bytes: meanwhile no more of a response is taken in. Only the last caller is woken.
+    pub fn poll_writable(&self, cx: &Context) -> Poll<()> {
+        if !self.write_blocked.load(Ordering::Relaxed) {
+            return Poll::Ready(());
         }
+        *self.writer.lock().unwrap_or_else(PoisonError::into_inner) = Some(cx.waker().clone());
+        Poll::Pending
     }
 
     /// Records that a complete request head has arrived. Returns whether it is the first one on the connection.
     pub fn request_started(&self) -> bool {
+        self.reading.response_started();
         self.request_active.store(true, Ordering::Relaxed);
         !self.had_request.swap(true, Ordering::Relaxed)
     }
@@ -177,6 +208,12 @@
         Some(now.saturating_sub(load(&self.last_byte_at).max(load(&self.response_ended_at))))
     }
 
+    /// Returns how many bytes less the client has read of a response than it has to, if it holds the response up now.
+    pub fn unread_too_long(&self, now: Nanos) -> Option<u64> {
+        let is_held_up = self.write_blocked.load(Ordering::Relaxed);
+        self.reading.missing_bytes(now).filter(|_| is_held_up)
+    }
+
     /// Returns whether the connection is to give way to others.
     pub fn is_evicted(&self) -> bool {
         self.evicted.load(Ordering::Relaxed)
--- a/crates/node/src/front/connection.rs
+++ b/crates/node/src/front/connection.rs
@@ -52,7 +52,7 @@
                 }
                 tokio::select! {
                     () = sleep(Duration::from_nanos(time_left.min(timeouts.poll_interval()))) => {}
-                    () = evicted_between_requests(&timeouts, now) => return CloseReason::Evicted,
+                    reason = evicted(&timeouts, now) => return reason,
                     _ = drain.wait_for(|started| *started), if !timeouts.is_draining() => {
                         timeouts.drain_started(now());
                     }
@@ -118,6 +118,7 @@
     fn count_timeout(&self, reason: CloseReason) -> ConnectionEnd {
         let count = match reason {
             CloseReason::Evicted => return ConnectionEnd::Orderly, // counted as it was chosen
+            CloseReason::SlowReader => &self.stats.slow_readers,
             CloseReason::NoRequest => &self.stats.silent,
             CloseReason::Stalled => &self.stats.stalled,
             CloseReason::DrainLimit => &self.stats.cut_by_drain,
@@ -128,7 +129,7 @@
         }
         match reason {
             CloseReason::NoRequest | CloseReason::Evicted => ConnectionEnd::Orderly,
-            CloseReason::Stalled | CloseReason::DrainLimit => ConnectionEnd::Cut,
+            CloseReason::Stalled | CloseReason::DrainLimit | CloseReason::SlowReader => ConnectionEnd::Cut,
         }
     }
 
@@ -146,13 +147,19 @@
     }
 }
 
-/// Waits until the connection is to give way to others and no request on it is owed an answer: a last response has had
-/// time to be written. A request that is being received is refused by its handler.
-async fn evicted_between_requests(timeouts: &ConnectionTimeouts, now: impl Fn() -> Nanos) {
+/// Waits until the connection is to give way to others, and can: no request on it is owed an answer and a last response
+/// has had time to be written, or its client reads a response too slowly. A request that is being received is refused by
+/// its handler.
+async fn evicted(timeouts: &ConnectionTimeouts, now: impl Fn() -> Nanos) -> CloseReason {
     timeouts.wait_for_eviction().await;
-    while !timeouts.has_no_request()
-        || timeouts.still_for(now()).is_none_or(|still| still < RESPONSE_WRITE_TIME)
-    {
+    loop {
+        if timeouts.unread_too_long(now()).is_some() {
+            return CloseReason::SlowReader;
+        }
+        let still_for = timeouts.still_for(now()).filter(|_| timeouts.has_no_request());
+        if still_for.is_some_and(|still| still >= RESPONSE_WRITE_TIME) {
+            return CloseReason::Evicted;
+        }
         sleep(PARTIAL_REQUEST_POLL_INTERVAL).await;
     }
 }
--- a/crates/node/src/front/eviction.rs
+++ b/crates/node/src/front/eviction.rs
@@ -15,8 +15,8 @@
 impl Front {
     /// Ends connections that move nothing, while others wait for memory.
     pub(super) fn evict_for_memory(&self) {
-        let is_short =
-            self.capacity.bodies.waiting() > 0 || !self.capacity.process_memory.allows(Purpose::Connection);
+        let is_short = self.capacity.bodies.waiting() > 0
+            || !self.capacity.process_memory.allows(Purpose::StillConnection);
         if is_short {
             self.evict_still();
         }
@@ -26,7 +26,7 @@
     pub(super) fn evict_still(&self) {
         let is_stopping = self.posture.borrow().stop.is_some();
         let limit = if is_stopping { STILL_TIME_AT_STOP } else { STILL_TIME };
-        let evicted = (0..MAX_EVICTIONS).take_while(|_| self.open.evict_longest_still(limit)).count();
+        let evicted = (0..MAX_EVICTIONS).take_while(|_| self.open.evict(limit)).count();
         self.stats.evicted.fetch_add(evicted as u64, Ordering::Relaxed);
     }
 
@@ -58,6 +58,7 @@
     pub(super) fn report_memory(&self) {
         let refused = self.stats.refused_for_memory.swap(0, Ordering::Relaxed);
         let evicted = self.stats.evicted.swap(0, Ordering::Relaxed);
+        let slow_readers = self.stats.slow_readers.swap(0, Ordering::Relaxed);
         if refused + evicted == 0 {
             return;
         }
@@ -71,6 +72,7 @@
             waiting = self.capacity.bodies.waiting(),
             refused,
             evicted,
+            slow_readers,
             "memory"
         );
     }
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -8,7 +8,7 @@
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -94,7 +94,7 @@
     stalls: StallDetector,
     stats: ConnectionStats,
     lacks_slots: AtomicBool, // a client has waited for a slot in vain
-    open: OpenConnections, // those that have not ended, without those that only wait for the close
+    open: OpenConnections,   // those that have not ended, without those that only wait for the close
 }
 
 impl Front {
@@ -228,7 +228,7 @@
         if is_invalid || !self.posture.borrow().keep_alive || self.is_nearly_full() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        Ok(response.map(|body| TrackedBody { body, _active_request: active_request }))
+        Ok(response.map(|body| TrackedBody { body, active_request }))
     }
 
     /// Reads a request, passes it to the driver and waits for its reply. An error is the status for an invalid request.
--- a/crates/node/src/front/open_connections.rs
+++ b/crates/node/src/front/open_connections.rs
@@ -17,6 +17,12 @@
     accepted_at: Instant,
 }
 
+impl OpenConnection {
+    fn age(&self) -> Nanos {
+        self.accepted_at.elapsed().as_nanos() as Nanos
+    }
+}
+
 impl OpenConnections {
     fn lock(&self) -> MutexGuard<'_, HashMap<u64, OpenConnection>> {
         self.connections.lock().unwrap_or_else(PoisonError::into_inner)
@@ -34,17 +40,16 @@
         self.lock().len()
     }
 
-    /// Evicts the connection that has moved nothing for the longest time, if that is at least `limit`. Returns whether
-    /// there was one.
-    pub(super) fn evict_longest_still(&self, limit: Nanos) -> bool {
+    /// Evicts the connection that has moved nothing for the longest time, if that is at least `limit`, or else the one
+    /// whose client reads most too slowly. Returns whether there was one.
+    pub(super) fn evict(&self, limit: Nanos) -> bool {
         let connections = self.lock();
-        let present = connections.values().filter(|open| !open.timeouts.is_evicted());
-        let still = present.filter_map(|open| {
-            let now = open.accepted_at.elapsed().as_nanos() as Nanos;
-            Some((open.timeouts.still_for(now)?, &open.timeouts))
-        });
+        let present = || connections.values().filter(|open| !open.timeouts.is_evicted());
+        let still = present().filter_map(|open| Some((open.timeouts.still_for(open.age())?, open)));
         let longest = still.filter(|(time, _)| *time >= limit).max_by_key(|(time, _)| *time);
-        longest.map(|(_, timeouts)| timeouts.evict()).is_some()
+        let slow = present().filter_map(|open| Some((open.timeouts.unread_too_long(open.age())?, open)));
+        let slowest = || slow.max_by_key(|(missing_bytes, _)| *missing_bytes);
+        longest.or_else(slowest).map(|(_, open)| open.timeouts.evict()).is_some()
     }
 }
 
--- a/crates/node/src/front/response.rs
+++ b/crates/node/src/front/response.rs
@@ -5,7 +5,7 @@
 /// The body of a response; its request counts as in progress until the body is dropped.
 pub(super) struct TrackedBody {
     pub(super) body: ClientBody,
-    pub(super) _active_request: ActiveRequest,
+    pub(super) active_request: ActiveRequest,
 }
 
 impl Body for TrackedBody {
@@ -15,9 +15,14 @@
     fn poll_frame(
         mut self: Pin<&mut Self>, cx: &mut Context,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        match &mut self.body {
+        let TrackedBody { body, active_request } = &mut *self;
+        match body {
             ClientBody::Buffered(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            ClientBody::Streamed(relay) => Pin::new(relay).poll_frame(cx),
+            // What the client does not accept yet waits at the server.
+            ClientBody::Streamed(relay) => {
+                ready!(active_request.timeouts.poll_writable(cx));
+                Pin::new(relay).poll_frame(cx)
+            }
         }
     }
 
--- a/crates/node/src/front/stats.rs
+++ b/crates/node/src/front/stats.rs
@@ -12,6 +12,7 @@
     pub(super) stalled: AtomicU64, // closed because no byte was transferred for too long within a message
     pub(super) cut_by_drain: AtomicU64, // closed in the middle of a message by the limit of a drain
     pub(super) evicted: AtomicU64, // ended for others, because they moved nothing
+    pub(super) slow_readers: AtomicU64, // cut for others, because they read a response too slowly
     pub(super) refused_for_memory: AtomicU64,
     pub(super) full: AtomicU64, // times that all slots were in use when a client was to be accepted
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 mod metrics;
 mod peers;
 pub mod process;
+mod read_progress;
 pub mod request_head;
 pub mod server_list;
 mod shared_claims;
--- a/crates/node/src/memory.rs
+++ b/crates/node/src/memory.rs
@@ -28,6 +28,8 @@
     IdleConnection,
     /// To take in a body beyond what every connection buffers.
     Body,
+    /// To keep a client's connection that moves too little.
+    StillConnection,
     /// To send a request to a server.
     Attempt,
     /// To handle a request whose head is read.
@@ -42,6 +44,7 @@
         match self {
             Purpose::IdleConnection => 50,
             Purpose::Body => 65,
+            Purpose::StillConnection => 80,
             Purpose::Attempt => 88,
             Purpose::Request => 90,
             Purpose::Connection => 92,
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -20,6 +20,10 @@
 /// told from one that does not read.
 const MAX_UNSENT_BYTES: u32 = 64 << 10;
 
+/// Most bytes of one read. The library doubles its buffer once a read fills it, and each piece of a body keeps the whole
+/// buffer that it was read into.
+const MAX_READ_BYTES: usize = (8 << 10) - 1;
+
 /// Reads of one request head without a pause between them.
 const MAX_PROMPT_HEAD_READS: u32 = 8;
 /// Pause before each further read of that head.
@@ -62,7 +66,8 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buffer: &mut ReadBuf) -> Poll<io::Result<()>> {
         loop {
             ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(buffer.initialize_unfilled()) {
+            let length = buffer.remaining().min(MAX_READ_BYTES);
+            match self.0.try_read(buffer.initialize_unfilled_to(length)) {
                 Err(error) if is_transient(&error) => {}
                 read => return Poll::Ready(read.map(|length| buffer.advance(length))),
             }
@@ -130,6 +135,7 @@
         self.timeouts.write_attempted(self.now(), written.is_ready());
         if let Poll::Ready(Ok(count)) = written {
             self.timeouts.bytes_transferred(count);
+            self.timeouts.bytes_accepted(count);
         }
         written
     }
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -310,15 +310,7 @@
         let (body, connection) = if prefix.is_complete {
             (ServerResponseBody::Buffered(prefix.into()), self.if_reusable(Some(connection)).await)
         } else {
-            (
-                ServerResponseBody::Streamed(Box::new(Relay::new(
-                    prefix,
-                    body,
-                    connection,
-                    &self.buffer_budget,
-                ))),
-                None,
-            )
+            (ServerResponseBody::Streamed(Box::new(Relay::new(prefix, body, connection))), None)
         };
         let response = Some(ServerResponse { content_type, length, body });
         AttemptOutcome { response, report, connection, ..status.into() }
--- a/crates/node/src/upstream/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -1,7 +1,6 @@
 //! A streamed response on its way from a server's connection to a client.
 
 use std::collections::VecDeque;
-use std::future::Future;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 
@@ -9,35 +8,15 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use super::Connection;
-use crate::body::{BodyPrefix, BufferBudget, BufferReservation};
+use crate::body::{BodyPrefix, BufferedBody};
 use crate::metrics::RequestEnd;
 
 /// Receives how a streamed response has ended, and its connection if that can serve another request.
 type EndCallback = Box<dyn FnOnce(RequestEnd, Option<Connection>) + Send>;
 
-/// The memory for the buffers of both connections of a response.
-enum StreamMemory {
-    /// Waits until there is some. Meanwhile the rest of the response waits at the server.
-    Awaited(Pin<Box<dyn Future<Output = BufferReservation> + Send + Sync>>),
-    /// Held until the response has ended.
-    Held { _reservation: BufferReservation },
-}
-
-impl StreamMemory {
-    /// Polls until the memory is there.
-    fn poll_held(&mut self, cx: &mut Context) -> Poll<()> {
-        if let StreamMemory::Awaited(awaited) = self {
-            let _reservation = ready!(awaited.as_mut().poll(cx));
-            *self = StreamMemory::Held { _reservation };
-        }
-        Poll::Ready(())
-    }
-}
-
 /// The body of a streamed response. The callback set by [`Relay::on_end`] is called however the response ends.
 pub struct Relay {
     buffered: VecDeque<Bytes>,
-    memory: StreamMemory,
     rest: Incoming,
     bytes_left: Option<u64>, // bytes still to be sent; `None` if the length is unknown
     connection: Option<Connection>,
@@ -51,20 +30,12 @@
 }
 
 impl Relay {
-    /// Creates the body from the prefix that was read, the rest, and the connection that it arrives on. The memory for
-    /// the rest is taken from `budget`.
-    pub fn new(prefix: BodyPrefix, rest: Incoming, connection: Connection, budget: &BufferBudget) -> Self {
+    /// Creates the body from the prefix that was read, the rest, and the connection that it arrives on.
+    pub fn new(prefix: BodyPrefix, rest: Incoming, connection: Connection) -> Self {
         let bytes_left = rest.size_hint().exact().map(|rest| rest + prefix.bytes.len() as u64);
-        let BodyPrefix { bytes: buffered, reservation, .. } = prefix;
+        let buffered = BufferedBody::from(prefix).bytes;
         let buffered = VecDeque::from_iter(Some(buffered).filter(|buffered| !buffered.is_empty()));
-        let memory = match reservation {
-            Some(_) => StreamMemory::Held { _reservation: reservation },
-            None => {
-                let budget = budget.clone();
-                StreamMemory::Awaited(Box::pin(async move { budget.wait_for_stream().await }))
-            }
-        };
-        Relay { buffered, memory, rest, bytes_left, connection: Some(connection), end_callback: None }
+        Relay { buffered, rest, bytes_left, connection: Some(connection), end_callback: None }
     }
 
     /// Calls `callback` once, when the response has ended.
@@ -90,7 +61,6 @@
         let data = match self.buffered.pop_front() {
             Some(buffered) => buffered,
             None => {
-                ready!(self.memory.poll_held(cx));
                 match ready!(Pin::new(&mut self.rest).poll_frame(cx)) {
                     None => {
                         self.end(RequestEnd::Completed);
