Accept clients that wait for a slot, so that the time of their wait is known and bounded

Cause: the node accepted a connection only with a slot for it. Who waited in the kernel, and since when, could not be seen: the limit of 0.2 s held for the head of the queue alone, and the time of a request began when it was read.

Change: connections beyond the slots are accepted as far as descriptors are left that nothing else may use, and wait unread.

--- a/crates/lab/src/peer_faults/command.rs
+++ b/crates/lab/src/peer_faults/command.rs
@@ -4,6 +4,7 @@
 
 use clap::Args;
 
+use super::pictures::upgraded;
 use super::{draw, picture, run, Scenario, PICTURES};
 use crate::process::NodeCommand;
 
@@ -28,6 +29,9 @@
     /// Descriptors of the node in a fixed scenario.
     #[arg(long, requires = "picture")]
     sockets: Option<usize>,
+    /// Play an upgrade in the middle of a fixed scenario.
+    #[arg(long, requires = "picture")]
+    upgrade: bool,
     /// Time for which clients send in each run, in seconds.
     #[arg(long, default_value_t = 8.0)]
     seconds: f64,
@@ -94,5 +98,8 @@
     if let Some(clients) = options.clients {
         scenario.peers.iter_mut().for_each(|(_, count)| *count = clients);
     }
+    if options.upgrade {
+        scenario = upgraded(scenario);
+    }
     scenario
 }
--- a/crates/lab/src/peer_faults/pictures.rs
+++ b/crates/lab/src/peer_faults/pictures.rs
@@ -39,6 +39,12 @@
 const BUSY_PROCESSES: usize = 9;
 const SECONDS: f64 = 6.0;
 
+/// Adds an upgrade in the middle of a scenario.
+pub(super) fn upgraded(scenario: Scenario) -> Scenario {
+    let restart = Restart { at: 3.0, kind: RestartKind::Upgrade, signals: 2 };
+    Scenario { restarts: vec![restart], seconds: 8.0, ..scenario }
+}
+
 /// Returns the scenario of this name.
 pub fn picture(name: &str) -> Option<Scenario> {
     let calm = Scenario::new(SECONDS);
@@ -51,11 +57,6 @@
     };
     let few =
         |peers: &[Peers]| Scenario { peers: peers.iter().map(|peers| (*peers, 2)).collect(), ..calm.clone() };
-    let upgraded = |scenario: Scenario| Scenario {
-        restarts: vec![Restart { at: 3.0, kind: RestartKind::Upgrade, signals: 2 }],
-        seconds: 8.0,
-        ..scenario
-    };
     let leavers = Peers::Leaver { requests: 40, resets: false, returns: false };
     let stopped = Peers::StoppedUpload { length: 63_000, sent: 62_000 };
     let returning = few(&[false, true].map(|resets| Peers::Leaver { requests: 1, resets, returns: true }));
--- a/crates/node/src/capacity.rs
+++ b/crates/node/src/capacity.rs
@@ -24,9 +24,8 @@
 /// connection.
 const SUCCESSOR_STARTUP_DESCRIPTORS: usize = 16;
 const MIN_SERVER_CONNECTIONS: usize = 4; // fewer would keep a node from serving at all
-/// Connections that may be closing although all descriptors for clients are those of slots; theirs are among the reserved
-/// ones.
-const MIN_CLOSING_CONNECTIONS: usize = 8;
+/// Connections without a slot for which there are always descriptors, among the reserved ones.
+const MIN_UNSERVED_CONNECTIONS: usize = 8;
 /// Descriptors for everything but clients and servers: listeners, peers, discovery, runtime, log, console connections.
 pub const RESERVED_DESCRIPTORS: usize = 16 + MAX_CONSOLE_CONNECTIONS;
 /// Bytes in one slot of the capacity for buffered bodies.
@@ -101,16 +100,26 @@
     free: Arc<Semaphore>,
     total: AtomicUsize,
     target: AtomicUsize,
-    waiting: AtomicUsize,
+    waiting: Waiters,
 }
 
+/// The number of callers that wait for something.
+#[derive(Debug, Default)]
+pub struct Waiters(AtomicUsize);
+
 /// Counts a caller that waits, until it is dropped.
-struct Waiting<'a>(&'a AtomicUsize);
+pub struct Waiting<'a>(&'a AtomicUsize);
+
+impl Waiters {
+    /// Counts a caller until the returned value is dropped.
+    pub fn enter(&self) -> Waiting<'_> {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        Waiting(&self.0)
+    }
 
-impl<'a> Waiting<'a> {
-    fn new(count: &'a AtomicUsize) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Waiting(count)
+    /// Returns how many callers wait.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
     }
 }
 
@@ -127,7 +136,7 @@
             free: Arc::new(Semaphore::new(total)),
             total: AtomicUsize::new(total),
             target: AtomicUsize::new(total),
-            waiting: AtomicUsize::new(0),
+            waiting: Waiters::default(),
         })
     }
 
@@ -139,7 +148,7 @@
     /// Waits for `count` free slots, or for all slots if there are fewer; first come first served.
     pub async fn acquire_many(&self, count: u32) -> OwnedSemaphorePermit {
         let count = count.min(self.total() as u32);
-        let _waiting = Waiting::new(&self.waiting);
+        let _waiting = self.waiting.enter();
         self.free.clone().acquire_many_owned(count).await.expect("the semaphore is never closed")
     }
 
@@ -150,7 +159,7 @@
 
     /// Returns how many callers wait in [`Slots::acquire_many`].
     pub fn waiting(&self) -> usize {
-        self.waiting.load(Ordering::Relaxed)
+        self.waiting.count()
     }
 
     /// Returns the number of free slots.
@@ -189,11 +198,17 @@
     }
 }
 
-/// Returns how many connections a process may be closing: its half of the descriptors that clients may hold beyond those
-/// that memory allows.
-fn closing_connections(sockets: usize, memory: usize) -> usize {
-    let slots = Allocation::new(sockets, memory, false).clients;
-    (sockets / CLIENT_DESCRIPTORS_DIVISOR).saturating_sub(slots) / 2 + MIN_CLOSING_CONNECTIONS
+/// Returns how many connections without a slot a process may hold: those whose descriptors nothing else may use, or their
+/// half beside another process.
+fn unserved_connections(sockets: usize, memory: usize, has_companion: bool) -> usize {
+    let Allocation { clients, servers, .. } = Allocation::new(sockets, memory, false);
+    let used = clients + servers + RESERVED_DESCRIPTORS + SUCCESSOR_STARTUP_DESCRIPTORS;
+    let unserved = sockets.saturating_sub(used) + MIN_UNSERVED_CONNECTIONS;
+    if has_companion {
+        unserved / 2
+    } else {
+        unserved
+    }
 }
 
 /// The resource limits of a process.
@@ -205,8 +220,9 @@
     pub servers: Arc<Slots>,
     /// Memory for buffered bodies, in units of [`BODY_UNIT_BYTES`].
     pub bodies: Arc<Slots>,
-    /// Connections whose clients only read their last response: a descriptor each, and no memory.
-    pub closing: Arc<Slots>,
+    /// Connections of clients that wait for a slot, or only read their last response: a descriptor each, and next to no
+    /// memory.
+    pub unserved: Arc<Slots>,
     /// All memory of the process.
     pub process_memory: Arc<Memory>,
     sockets: usize,
@@ -221,7 +237,7 @@
             clients: Slots::new(clients),
             servers: Slots::new(servers),
             bodies: Slots::new(bodies),
-            closing: Slots::new(closing_connections(sockets, memory)),
+            unserved: Slots::new(unserved_connections(sockets, memory, has_companion)),
             process_memory: Memory::new(memory, None),
             sockets,
             memory,
@@ -236,6 +252,7 @@
     /// Halves the limits while another process runs beside this one, or restores them.
     pub fn resize(&self, has_companion: bool) {
         self.set(Allocation::new(self.sockets, self.memory, has_companion));
+        self.unserved.resize(unserved_connections(self.sockets, self.memory, has_companion));
     }
 
     /// Takes what the first process does not use, up to a half. Returns whether this process now has its half.
@@ -262,6 +279,7 @@
     /// Removes free slots above the targets. Returns whether client and server connections are within theirs; buffered
     /// bodies are not waited for, as they end soon by themselves.
     pub fn reclaim(&self) -> bool {
+        self.unserved.reclaim(); // they end soon by themselves
         let within_target = [&self.clients, &self.servers, &self.bodies].map(|slots| slots.reclaim());
         within_target[0] && within_target[1]
     }
--- a/crates/node/src/connection_timeouts.rs
+++ b/crates/node/src/connection_timeouts.rs
@@ -90,6 +90,18 @@
         }
     }
 
+    /// Records that the connection is served from now on; until then it may have waited for its slot. `has_input` is whether
+    /// bytes of the client have waited with it.
+    pub fn serving_started(&self, now: Nanos, has_input: bool) {
+        self.last_byte_at.store(now, Ordering::Relaxed);
+        self.input_empty.store(!has_input, Ordering::Relaxed);
+    }
+
+    /// Returns whether each read so far has found bytes that may have waited since the connection was accepted.
+    pub fn has_waited_from_accept(&self) -> bool {
+        self.input_since() == 0
+    }
+
     /// Records that the node drains: the connection has to end, however long its peers keep it in use.
     pub fn drain_started(&self, now: Nanos) {
         self.drain_started_at.store(now.max(1), Ordering::Relaxed);
@@ -118,7 +130,7 @@
     /// Records a read: whether it found bytes.
     pub fn read_attempted(&self, now: Nanos, found: bool) {
         if self.input_empty.swap(!found, Ordering::Relaxed) && found {
-            self.input_since.store(now, Ordering::Relaxed);
+            self.input_since.store(now.max(1), Ordering::Relaxed);
         }
     }
 
--- a/crates/node/src/front/accept.rs
+++ b/crates/node/src/front/accept.rs
@@ -1,15 +1,13 @@
 //! Accepts client connections, and closes them so that clients can read their last responses.
 
+use std::future::ready;
+
 use super::*;
 
 /// Time to read on after the write side is shut down, until the client closes. Closing a socket with unread bytes
 /// resets the connection, and the client could lose the end of a response.
 const LINGER: Duration = Duration::from_secs(1);
-const LINGER_WHEN_FULL: Duration = Duration::from_millis(100); // the same while other clients wait for a slot
-/// Time for which clients in the accept queue wait for a slot before they are refused: well below the time of a request.
-const MAX_SLOT_WAIT: Duration = Duration::from_millis(200);
-/// The same once one of them has waited in vain.
-const MIN_SLOT_WAIT: Duration = Duration::from_millis(1);
+const LINGER_WHEN_FULL: Duration = Duration::from_millis(50); // the same while other clients wait for a slot
 /// Time to read on behind a refusal: others wait for theirs.
 const REFUSED_LINGER: Duration = Duration::from_millis(20);
 /// The response on a connection that is not read.
@@ -26,26 +24,27 @@
 /// Delay after a failed accept, which keeps a repeated error from spinning.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
-/// What happens to the next connection.
-enum Admission {
-    /// It is served in this slot.
-    Serve(OwnedSemaphorePermit),
-    /// It is refused unread.
-    Refuse(OwnedSemaphorePermit),
-}
-
 impl Front {
-    /// Waits for a free slot and accepts one connection.
+    /// Accepts one connection, as soon as there is a slot for it or it can wait for one.
     pub(super) async fn accept(
-        self: &Arc<Self>, listener: &TcpListener, close_requested: &watch::Receiver<bool>,
+        self: &Arc<Self>, listener: &TcpListener, queue: &mut AcceptQueue,
+        close_requested: &watch::Receiver<bool>,
     ) {
-        if self.capacity.clients.free() == 0 {
-            increment(&self.stats.full);
-        }
-        let admission = self.admit().await;
-        match listener.accept().await {
+        let place = self.acquire_place().await;
+        let accept = listener.accept();
+        tokio::pin!(accept);
+        let accepted = tokio::select! {
+            biased;
+            accepted = accept.as_mut() => accepted,
+            () = ready(()) => {
+                let accepted = accept.await;
+                queue.was_empty(); // the connection has just come
+                accepted
+            }
+        };
+        match accepted {
             Ok((stream, _)) => {
-                self.handle_accepted(stream, admission, close_requested);
+                self.place_client(queue.taken(stream), place, close_requested);
                 yield_now().await; // a burst of connections takes turns with those already open
             }
             Err(error) => {
@@ -55,52 +54,20 @@
         }
     }
 
-    /// Waits for a slot, for which connections that move nothing give way. Where that takes too long for the clients in the
-    /// queue, they are refused.
-    async fn admit(&self) -> Admission {
-        let patience = if self.lacks_slots.load(Ordering::Relaxed) { MIN_SLOT_WAIT } else { MAX_SLOT_WAIT };
-        let slot = timeout(patience, self.acquire_slot()).await;
-        self.lacks_slots.store(slot.is_err(), Ordering::Relaxed);
-        match slot {
-            Ok(slot) => Admission::Serve(slot),
-            Err(_) => Admission::Refuse(self.capacity.closing.acquire().await),
-        }
-    }
-
-    /// Waits for a slot, for which connections that move nothing give way.
-    async fn acquire_slot(&self) -> OwnedSemaphorePermit {
-        // Above the target, released slots belong to the other process of this node.
-        while !self.capacity.clients.reclaim() {
-            self.evict_still();
-            sleep(ACCEPT_RETRY_DELAY).await;
-        }
-        let slot = self.capacity.clients.acquire();
-        tokio::pin!(slot);
-        loop {
-            if self.capacity.clients.free() == 0 {
-                self.evict_still();
-            }
-            if let Ok(slot) = timeout(ACCEPT_RETRY_DELAY, slot.as_mut()).await {
-                return slot;
-            }
-        }
-    }
-
-    /// Serves or refuses an accepted connection.
-    fn handle_accepted(
-        self: &Arc<Self>, stream: TcpStream, admission: Admission, close_requested: &watch::Receiver<bool>,
+    /// Serves an accepted connection in its slot, or refuses it if there is no memory for it.
+    pub(super) fn serve_client(
+        self: &Arc<Self>, client: AcceptedClient, slot: OwnedSemaphorePermit,
+        close_requested: &watch::Receiver<bool>,
     ) {
-        match admission {
-            Admission::Serve(slot) if self.capacity.process_memory.allows(Purpose::Connection) => {
-                self.spawn_connection(stream, slot, close_requested);
-            }
-            Admission::Serve(slot) => self.refuse_unread(stream, slot, "no memory for a connection"),
-            Admission::Refuse(slot) => self.refuse_unread(stream, slot, "no slot for a connection"),
+        if self.capacity.process_memory.allows(Purpose::Connection) {
+            self.spawn_connection(client, slot, close_requested);
+        } else {
+            self.refuse_unread(client.stream, slot, "no memory for a connection");
         }
     }
 
     /// Refuses what comes on a connection, whatever it is.
-    fn refuse_unread(&self, stream: TcpStream, slot: OwnedSemaphorePermit, reason: &str) {
+    pub(super) fn refuse_unread(&self, stream: TcpStream, slot: OwnedSemaphorePermit, reason: &str) {
         self.refuse_for_memory(reason);
         tokio::spawn(async move {
             // A new connection has room for the response as soon as the runtime knows of it; an error ends it.
@@ -117,17 +84,24 @@
 
     /// Serves a connection in a task of its own, which holds the slot until the connection is closed.
     fn spawn_connection(
-        self: &Arc<Self>, stream: TcpStream, slot: OwnedSemaphorePermit,
+        self: &Arc<Self>, client: AcceptedClient, slot: OwnedSemaphorePermit,
         close_requested: &watch::Receiver<bool>,
     ) {
         increment(&self.stats.accepted);
+        let AcceptedClient { stream, accepted_at } = client;
         // On an error the connection has either ended, which its first read reports, or is served with delays.
         let _ = stream.set_nodelay(true);
         let (front, stream, close_requested) = (self.clone(), Arc::new(stream), close_requested.clone());
         tokio::spawn(async move {
             let (served_stream, ends_by_close) = (SharedStream(stream.clone()), AtomicBool::new(false));
             let end = front
-                .serve_connection(served_stream, Some(stream.clone()), close_requested, &ends_by_close)
+                .serve_connection(
+                    served_stream,
+                    Some(stream.clone()),
+                    accepted_at,
+                    close_requested,
+                    &ends_by_close,
+                )
                 .await;
             if end == ConnectionEnd::Cut && ends_by_close.load(Ordering::Relaxed) {
                 // An orderly close would end the response for its client. An error means that it has already ended.
@@ -147,27 +121,29 @@
         });
     }
 
-    /// Frees the slot of a connection that is only to be closed, if there is a descriptor for it elsewhere.
+    /// Frees the slot of a connection that is only to be closed, if many descriptors are left for clients without one.
     fn exchange_for_closing(&self, slot: OwnedSemaphorePermit) -> OwnedSemaphorePermit {
-        self.capacity.closing.try_acquire(1).unwrap_or(slot)
+        let unserved = &self.capacity.unserved;
+        let has_spare = unserved.free() > unserved.total() / 2;
+        has_spare.then(|| unserved.try_acquire(1)).flatten().unwrap_or(slot)
     }
 
     /// Accepts all connections that the kernel has queued, which clients take for accepted, and closes the listener as
     /// soon as the queue is empty: a connection that arrives between the two would be reset.
     pub(super) async fn drain_backlog(
-        self: &Arc<Self>, listener: TcpListener, close_requested: &watch::Receiver<bool>,
+        self: &Arc<Self>, listener: TcpListener, queue: AcceptQueue, close_requested: &watch::Receiver<bool>,
     ) {
         // The handshakes of further clients are left to a successor, or the queue of a busy node would never be empty. An
         // error means that they go on arriving here.
         let _ = SockRef::from(&listener).listen(BACKLOG_WHILE_DRAINING);
         let Ok(listener) = listener.into_std() else { return };
         loop {
-            let admission = self.admit().await;
+            let place = self.acquire_place().await;
             match listener.accept().map(|(stream, _)| stream) {
                 Ok(stream) => {
                     let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
                     if let Ok(stream) = stream {
-                        self.handle_accepted(stream, admission, close_requested);
+                        self.place_client(queue.taken(stream), place, close_requested);
                     }
                 }
                 Err(error) if matches!(error.kind(), ConnectionAborted | Interrupted) => {}
--- a/crates/node/src/front/connection.rs
+++ b/crates/node/src/front/connection.rs
@@ -26,11 +26,11 @@
 }
 
 impl Front {
-    /// Serves one connection until it ends. `client_socket` is its socket, if it has one. Sets `ends_by_close` when a
+    /// Serves one connection, accepted at `accepted_at`, until it ends. `client_socket` is its socket, if it has one. Sets `ends_by_close` when a
     /// response has no other end than that of the connection.
     pub(super) async fn serve_connection(
         &self, stream: impl AsyncRead + AsyncWrite + Unpin, client_socket: Option<Arc<TcpStream>>,
-        mut close_requested: watch::Receiver<bool>, ends_by_close: &AtomicBool,
+        accepted_at: Instant, mut close_requested: watch::Receiver<bool>, ends_by_close: &AtomicBool,
     ) -> ConnectionEnd {
         let mut posture = self.posture.clone();
         let ServingState { keep_alive: keeps, idle_closes: retired, .. } = *posture.borrow_and_update();
@@ -39,9 +39,13 @@
             Some(DRAINING_IDLE_TIMEOUT).filter(|_| !keeps),
             longest_deadline,
         ));
-        let accepted_at = Instant::now();
-        let _open = self.open.add(&timeouts, accepted_at);
         let now = move || accepted_at.elapsed().as_nanos() as Nanos;
+        let has_input = match &client_socket {
+            Some(client_socket) => has_input(client_socket).await,
+            None => false,
+        };
+        timeouts.serving_started(now(), has_input);
+        let _open = self.open.add(&timeouts, accepted_at);
         let mut drain = close_requested.clone();
         let timed_out = async {
             loop {
--- a/crates/node/src/front/eviction.rs
+++ b/crates/node/src/front/eviction.rs
@@ -13,17 +13,16 @@
 const KIB: usize = 1 << 10;
 
 impl Front {
-    /// Ends connections that move nothing, while others wait for memory.
-    pub(super) fn evict_for_memory(&self) {
-        let is_short = self.capacity.bodies.waiting() > 0
+    /// Ends connections that move too little, while others wait for a slot or memory.
+    pub(super) fn evict_for_others(&self) {
+        let is_short = self.slot_waiters.count() + self.capacity.bodies.waiting() > 0
             || !self.capacity.process_memory.allows(Purpose::StillConnection);
         if is_short {
             self.evict_still();
         }
     }
 
-    /// Ends connections that move nothing, for clients that wait for a slot.
-    pub(super) fn evict_still(&self) {
+    fn evict_still(&self) {
         let is_stopping = self.posture.borrow().stop.is_some();
         let limit = if is_stopping { STILL_TIME_AT_STOP } else { STILL_TIME };
         let evicted = (0..MAX_EVICTIONS).take_while(|_| self.open.evict(limit)).count();
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -32,7 +32,7 @@
     buffer_body, BodyError, BodyPrefix, BufferBudget, BufferReservation, BufferedBody, InputClock, OnTimeout,
     Upload, WithoutMemory,
 };
-use crate::capacity::Capacity;
+use crate::capacity::{Capacity, Waiters};
 use crate::clock::Clock;
 use crate::configuration::TenantRef;
 use crate::connection_timeouts::{CloseReason, ConnectionTimeouts};
@@ -40,7 +40,9 @@
 use crate::lifecycle::ServingState;
 use crate::memory::Purpose;
 use crate::request_head::RequestHead;
-use crate::stream::{has_disconnected, is_transient, limit_unsent_bytes, MonitoredStream, SharedStream};
+use crate::stream::{
+    has_disconnected, has_input, is_transient, limit_unsent_bytes, MonitoredStream, SharedStream,
+};
 use crate::upstream::{Relay, RequestBody, ServerResponseBody, UpstreamRequest};
 use merlinfold_decide::interface::{Nanos, RequestId, Settings};
 use merlinfold_settings::{NameTable, NameTables};
@@ -54,6 +56,7 @@
 mod response;
 mod stall;
 mod stats;
+mod waiting;
 
 use active_request::{ActiveRequest, CancelOnDrop};
 use connection::ConnectionEnd;
@@ -64,6 +67,7 @@
 use response::*;
 use stall::StallDetector;
 use stats::{increment, ConnectionStats};
+use waiting::{AcceptQueue, AcceptedClient};
 
 /// Base time for a body from the end of its head: clients send in pieces, with seconds between them.
 const BODY_TIMEOUT: Duration = Duration::from_secs(2);
@@ -93,8 +97,8 @@
     next_id: AtomicU64,
     stalls: StallDetector,
     stats: ConnectionStats,
-    lacks_slots: AtomicBool, // a client has waited for a slot in vain
-    open: OpenConnections,   // those that have not ended, without those that only wait for the close
+    slot_waiters: Waiters, // clients that have sent something
+    open: OpenConnections, // those that have not ended, without those that only wait for the close
 }
 
 impl Front {
@@ -115,7 +119,7 @@
             next_id: AtomicU64::new(0),
             stalls: StallDetector::new(clock.now()),
             stats: ConnectionStats::default(),
-            lacks_slots: AtomicBool::new(false),
+            slot_waiters: Waiters::default(),
             open: OpenConnections::default(),
         }
     }
@@ -134,7 +138,7 @@
             loop {
                 sleep(HEARTBEAT_INTERVAL).await;
                 front.stalls.heartbeat(front.clock.now());
-                front.evict_for_memory();
+                front.evict_for_others();
                 if reported.elapsed() >= REPORT_INTERVAL {
                     reported = Instant::now();
                     front.stats.report(front.capacity.clients.in_use(), front.capacity.clients.total());
@@ -157,10 +161,11 @@
         match listener {
             Ok(listener) => {
                 let mut list_posture = posture.clone();
+                let mut queue = AcceptQueue::new();
                 let accept = async {
                     let _ = list_posture.wait_for(|posture| posture.list_settled).await;
                     loop {
-                        self.accept(&listener, &close_requested).await;
+                        self.accept(&listener, &mut queue, &close_requested).await;
                     }
                 };
                 tokio::select! {
@@ -169,7 +174,8 @@
                 }
                 // A client that still waits for a slot when all answers have begun is past its deadline.
                 let waits_until = self.clock.instant(self.answers_begun_by());
-                let drained = timeout_at(waits_until, self.drain_backlog(listener, &close_requested)).await;
+                let drained =
+                    timeout_at(waits_until, self.drain_backlog(listener, queue, &close_requested)).await;
                 if drained.is_err() {
                     warn!("clients still waiting to be accepted at the longest deadline after the stop");
                 }
@@ -189,7 +195,7 @@
         let answers_begun_by = self.answers_begun_by();
         let all_ended = async {
             // Once all answers have begun, connections that only wait for the client to close are not waited for.
-            while self.capacity.clients.in_use() + self.capacity.closing.in_use() > 0
+            while self.capacity.clients.in_use() + self.capacity.unserved.in_use() > 0
                 && (self.clock.now() < answers_begun_by || self.open.count() > 0)
             {
                 sleep(SETTLE_INTERVAL).await;
@@ -237,7 +243,11 @@
         first_request_since: Option<Instant>,
     ) -> Result<Response<ClientBody>, StatusCode> {
         let timeouts = &*active_request.timeouts;
-        let arrived = self.stalls.arrival(self.clock.now());
+        let accepted_at = self.clock.at(active_request.accepted_at);
+        let mut arrived = self.stalls.arrival(self.clock.now());
+        if timeouts.has_waited_from_accept() {
+            arrived = arrived.min(accepted_at);
+        }
         let (head, mut body) = request.into_parts();
         if head.uri.path() == "/health/ready" && matches!(head.method, Method::GET | Method::HEAD) {
             let mut response = Response::new(ClientBody::empty());
@@ -289,7 +299,6 @@
         }
         // The time of a request counts from its last byte; for a streamed request the last byte is still to come.
         // A body that waited for memory may have been there all the time.
-        let accepted_at = self.clock.at(active_request.accepted_at);
         let input_since = accepted_at + timeouts.input_since();
         let arrived = match has_no_body {
             true => arrived,
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -57,6 +57,15 @@
     }
 }
 
+/// Returns whether the stream has bytes to read, or has ended.
+pub async fn has_input(stream: &TcpStream) -> bool {
+    tokio::select! {
+        biased;
+        ready = stream.ready(Interest::READABLE) => ready.is_ok(),
+        () = std::future::ready(()) => false,
+    }
+}
+
 /// Returns whether a failed call transferred nothing and is to be repeated once the stream is ready.
 pub fn is_transient(error: &io::Error) -> bool {
     matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
--- a/crates/node/tests/unit/capacity.rs
+++ b/crates/node/tests/unit/capacity.rs
@@ -12,6 +12,11 @@
         let total = |s: Allocation| s.clients + s.servers + RESERVED_DESCRIPTORS;
         prop_assert!(total(full) + SUCCESSOR_STARTUP_DESCRIPTORS <= sockets);
         prop_assert!(2 * total(half) <= sockets);
+        let unserved = |has_companion| unserved_connections(sockets, memory, has_companion);
+        prop_assert!(
+            total(full) + SUCCESSOR_STARTUP_DESCRIPTORS + unserved(false) <= sockets + MIN_UNSERVED_CONNECTIONS
+        );
+        prop_assert!(2 * (total(half) + unserved(true)) <= sockets + MIN_UNSERVED_CONNECTIONS);
         prop_assert!(full.clients * 3 <= sockets && half.clients * 6 <= sockets);
         prop_assert!(half.servers >= MIN_SERVER_CONNECTIONS && 4 * full.bodies * BODY_UNIT_BYTES <= memory);
         // The first process on its way from all to a half, with a part of the difference still in use.
--- a/crates/node/tests/unit/front.rs
+++ b/crates/node/tests/unit/front.rs
@@ -34,7 +34,9 @@
     let started = Instant::now();
     let serving = front.clone();
     let connection = tokio::spawn(async move {
-        serving.serve_connection(stream, None, close_requested, &AtomicBool::new(false)).await;
+        serving
+            .serve_connection(stream, None, Instant::now(), close_requested, &AtomicBool::new(false))
+            .await;
         drop(slot);
     });
     peer.write_all(text.as_bytes()).await.unwrap();
