Leave room for gaps in the heaps of two processes, and allocate bodies whole

Callers: an upgrade beside 340 clients that write 63,000 bytes in pieces took the two processes of a node to 35,172 kB of 32,768; beside heads of 90 fields to 33,504 kB.

Cause: a body's buffer grew by 8 KiB a step, which leaves gaps of ever other sizes in the heap: 21,176 kB were resident with 6,294 kB allocated. The allocator gives next to nothing back, and the two processes shared all of the memory to the last byte.

Change: a buffer has the size that is reserved for it from the start. Two processes leave a sixteenth of the memory free.

Evidence: an_upgrade_beside_hundreds_of_slow_writers_stays_within_the_memory_of_one_node, whose picture gave 35,172 kB before.

--- a/crates/lab/src/peer_faults/pictures.rs
+++ b/crates/lab/src/peer_faults/pictures.rs
@@ -4,7 +4,7 @@
 use super::scenario::{Peers, Restart, RestartKind, Scenario};
 
 /// Names of the fixed scenarios.
-pub const PICTURES: [&str; 24] = [
+pub const PICTURES: [&str; 25] = [
     "calm",
     "stopped-uploads",
     "piecewise-uploads",
@@ -26,6 +26,7 @@
     "leavers",
     "returning-ids",
     "upgrade-beside-stopped-uploads",
+    "upgrade-beside-piecewise-uploads",
     "upgrade-beside-leavers",
     "upgrade-beside-returning-ids",
     "upgrade-without-discovery",
@@ -59,11 +60,12 @@
         |peers: &[Peers]| Scenario { peers: peers.iter().map(|peers| (*peers, 2)).collect(), ..calm.clone() };
     let leavers = Peers::Leaver { requests: 40, resets: false, returns: false };
     let stopped = Peers::StoppedUpload { length: 63_000, sent: 62_000 };
+    let piecewise = Peers::PiecewiseUpload { length: 63_000, piece: 1_000, over_ms: 1_100 };
     let returning = few(&[false, true].map(|resets| Peers::Leaver { requests: 1, resets, returns: true }));
     let scenario = match name {
         "calm" => calm.clone(),
         "stopped-uploads" => crowd(stopped),
-        "piecewise-uploads" => crowd(Peers::PiecewiseUpload { length: 63_000, piece: 1_000, over_ms: 1_100 }),
+        "piecewise-uploads" => crowd(piecewise),
         "long-exchanges" => crowd(Peers::LongExchange { length: 63_000, answer: 60_000 }),
         "long-stopped-uploads" => crowd(Peers::StoppedUpload { length: 3_000_000, sent: 1_500_000 }),
         "unfinished-heads" => crowd(Peers::ManyFields { fields: 3_800, is_whole: false }),
@@ -93,6 +95,7 @@
         "leavers" => few(&[leavers, Peers::Leaver { requests: 40, resets: true, returns: false }]),
         "returning-ids" => returning,
         "upgrade-beside-stopped-uploads" => upgraded(crowd(stopped)),
+        "upgrade-beside-piecewise-uploads" => upgraded(crowd(piecewise)),
         "upgrade-beside-returning-ids" => upgraded(returning),
         "upgrade-without-discovery" => {
             upgraded(Scenario { always_reconnects: true, deadline_ms: 200, ..calm.clone() })
--- a/crates/lab/tests/peer_faults.rs
+++ b/crates/lab/tests/peer_faults.rs
@@ -106,6 +106,12 @@
     play("upgrade-beside-stopped-uploads");
 }
 
+/// The same with bodies that come in pieces, whose buffers left gaps in the heaps of both processes.
+#[test]
+fn an_upgrade_beside_hundreds_of_slow_writers_stays_within_the_memory_of_one_node() {
+    play("upgrade-beside-piecewise-uploads");
+}
+
 /// Guards the final answer of a long request against a server that reads it slowly.
 #[test]
 fn a_request_that_its_server_reads_slowly_is_answered_in_time() {
--- a/crates/node/src/body/mod.rs
+++ b/crates/node/src/body/mod.rs
@@ -23,8 +23,6 @@
 pub const MAX_BUFFERED_BODY_BYTES: usize = 64 << 10;
 /// Time between two looks at the memory of the process.
 const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Bytes by which the buffer of a body grows beyond what has arrived.
-const GROWTH_BYTES: usize = 8 << 10;
 /// Bytes of a body that may be buffered without a reservation: as many as a connection buffers anyway.
 const UNRESERVED_BODY_BYTES: usize = 8 << 10;
 
@@ -214,12 +212,15 @@
     }
 }
 
-/// Appends data to a buffer that grows by no more than [`GROWTH_BYTES`] beyond it, and not beyond the length of the body.
+/// Appends data to a buffer that has its full size from the start, as far as that is reserved: buffers of ever new sizes
+/// would leave gaps in the heap.
 fn append(buffer: &mut Vec<u8>, data: &[u8], length: Option<u64>) {
     let needed = buffer.len() + data.len();
     if needed > buffer.capacity() {
-        let grown = (needed + GROWTH_BYTES).min(length.map_or(usize::MAX, |length| length as usize));
-        buffer.reserve_exact(grown.max(needed) - buffer.len());
+        let reserved =
+            if needed <= UNRESERVED_BODY_BYTES { UNRESERVED_BODY_BYTES } else { MAX_BUFFERED_BODY_BYTES };
+        let full = length.map_or(reserved, |length| length as usize);
+        buffer.reserve_exact(full.max(needed) - buffer.len());
     }
     buffer.extend_from_slice(data);
 }
--- a/crates/node/src/memory.rs
+++ b/crates/node/src/memory.rs
@@ -13,6 +13,8 @@
 const SUCCESSOR_BYTES: usize = 9 << 20;
 /// Parts of the resident heap of which the allocator keeps one in gaps.
 const GAP_DIVISOR: usize = 8;
+/// Parts of the memory of which two processes together leave one free: neither gives memory back that it has once used.
+const COMPANION_RESERVE_DIVISOR: usize = 16;
 /// Fewer bytes of heap would keep a node from serving at all.
 const MIN_HEAP_BYTES: usize = 2 << 20;
 const PERCENT: usize = 100;
@@ -87,12 +89,12 @@
 
     /// Sets the limit of a process that runs beside another one, which uses `other` bytes of memory at most.
     pub fn run_beside(&self, other: usize) {
-        self.set_share(self.total.saturating_sub(other));
+        self.set_share(self.total_of_two().saturating_sub(other));
     }
 
     /// Sets the limit of a process that runs beside another one of which nothing is known: its half.
     pub fn run_beside_unknown(&self) {
-        self.run_beside(self.total / 2);
+        self.run_beside(self.total_of_two() / 2);
     }
 
     /// Sets the limit of a process that has told another one that it needs `own` bytes of memory.
@@ -103,7 +105,12 @@
     /// The memory that this process needs beside another one: its half, or what it has become if that is more.
     /// `resident` is its resident memory in bytes.
     pub fn needed_beside(&self, resident: usize) -> usize {
-        resident.max(self.total / 2).min(self.total.saturating_sub(SUCCESSOR_BYTES))
+        resident.max(self.total_of_two() / 2).min(self.total.saturating_sub(SUCCESSOR_BYTES))
+    }
+
+    /// The memory that two processes may use together.
+    fn total_of_two(&self) -> usize {
+        self.total - self.total / COMPANION_RESERVE_DIVISOR
     }
 
     fn set_share(&self, share: usize) {
--- a/crates/node/tests/unit/memory.rs
+++ b/crates/node/tests/unit/memory.rs
@@ -28,6 +28,9 @@
                 needed + second_resident <= total + surplus,
                 "{total} {resident}: {needed}, {second_resident}"
             );
+            if second.limit() > MIN_HEAP_BYTES {
+                assert!(needed + second_resident <= total - total / COMPANION_RESERVE_DIVISOR);
+            }
         }
     }
 }
