Accept bursts of connections in one turn of the event loop

Cause: since the accept loop gave way after each connection. Beside hundreds of busy connections a turn of the event loop takes milliseconds, so a hundred new clients waited a hundred turns in the kernel's queue, in which no limit of the node runs.

Change: up to 32 connections are accepted in one turn.

--- a/crates/node/src/front/accept.rs
+++ b/crates/node/src/front/accept.rs
@@ -45,7 +45,7 @@
         match accepted {
             Ok((stream, _)) => {
                 self.place_client(queue.taken(stream), place, close_requested);
-                yield_now().await; // a burst of connections takes turns with those already open
+                queue.give_way().await;
             }
             Err(error) => {
                 warn!(%error, "accept failed; retrying"); // out of descriptors, or the client has already left
@@ -131,7 +131,8 @@
     /// Accepts all connections that the kernel has queued, which clients take for accepted, and closes the listener as
     /// soon as the queue is empty: a connection that arrives between the two would be reset.
     pub(super) async fn drain_backlog(
-        self: &Arc<Self>, listener: TcpListener, queue: AcceptQueue, close_requested: &watch::Receiver<bool>,
+        self: &Arc<Self>, listener: TcpListener, mut queue: AcceptQueue,
+        close_requested: &watch::Receiver<bool>,
     ) {
         // The handshakes of further clients are left to a successor, or the queue of a busy node would never be empty. An
         // error means that they go on arriving here.
--- a/crates/node/src/front/waiting.rs
+++ b/crates/node/src/front/waiting.rs
@@ -14,6 +14,10 @@
 /// Longest time that counts for a wait in the kernel's accept queue, which is not known.
 const MAX_UNSEEN_WAIT: Duration = Duration::from_millis(200);
 
+/// Connections that are accepted one after the other before those that are open take their turn. With fewer, clients
+/// would wait in the accept queue of a busy node for as many turns.
+const MAX_ACCEPTS_IN_TURN: usize = 32;
+
 /// An accepted connection before it is served.
 pub(super) struct AcceptedClient {
     pub(super) stream: TcpStream,
@@ -32,21 +36,32 @@
 /// The kernel's accept queue: a connection that is taken from it arrived after it was last empty.
 pub(super) struct AcceptQueue {
     empty_at: Instant,
+    taken_in_turn: usize,
 }
 
 impl AcceptQueue {
     /// Creates the record of a queue that has been empty so far.
     pub(super) fn new() -> Self {
-        AcceptQueue { empty_at: Instant::now() }
+        AcceptQueue { empty_at: Instant::now(), taken_in_turn: 0 }
     }
 
     /// Records that the queue was empty until now.
     pub(super) fn was_empty(&mut self) {
         self.empty_at = Instant::now();
+        self.taken_in_turn = 0;
+    }
+
+    /// Lets the connections that are open take their turn if a burst has taken its own.
+    pub(super) async fn give_way(&mut self) {
+        if self.taken_in_turn >= MAX_ACCEPTS_IN_TURN {
+            self.taken_in_turn = 0;
+            yield_now().await;
+        }
     }
 
     /// Wraps a connection that has just been taken from the queue.
-    pub(super) fn taken(&self, stream: TcpStream) -> AcceptedClient {
+    pub(super) fn taken(&mut self, stream: TcpStream) -> AcceptedClient {
+        self.taken_in_turn += 1;
         let now = Instant::now();
         let unseen_wait = (now - self.empty_at).min(MAX_UNSEEN_WAIT);
         AcceptedClient { stream, accepted_at: now - unseen_wait }
