Keep the ids of requests that may have run when others are refused at full speed

Callers: an id that must not run twice could run again after its client had left, if some 16,000 requests were refused in between.

Cause: the bound on recent ids counted entries of requests that had been refused and released, so these pushed out older ids.

Change: an id that is released leaves no entry; the bound counts ids that may have run, and those in progress.

Found by reading, not seen in a run of processes.

--- a/crates/node/src/driver/recent_requests.rs
+++ b/crates/node/src/driver/recent_requests.rs
@@ -1,6 +1,6 @@
 //! Transaction ids of requests that may have run, so that one that comes again is not run again.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 
 use merlinfold_decide::interface::Nanos;
 
@@ -13,7 +13,7 @@
 #[derive(Debug, Default)]
 pub(super) struct RecentRequests {
     arrivals: HashMap<u64, Nanos>,
-    by_age: VecDeque<(u64, Nanos)>,
+    by_age: BTreeSet<(Nanos, u64)>,
 }
 
 impl RecentRequests {
@@ -24,13 +24,15 @@
             return false;
         }
         self.arrivals.insert(id, now);
-        self.by_age.push_back((id, now));
+        self.by_age.insert((now, id));
         true
     }
 
     /// Forgets a request that certainly never ran.
     pub(super) fn remove(&mut self, id: u64) {
-        self.arrivals.remove(&id);
+        if let Some(arrival) = self.arrivals.remove(&id) {
+            self.by_age.remove(&(arrival, id));
+        }
     }
 
     /// Returns all ids.
@@ -39,15 +41,11 @@
     }
 
     fn forget_old(&mut self, now: Nanos) {
-        while let Some(&(id, arrival)) = self.by_age.front() {
+        while let Some(&(arrival, id)) = self.by_age.first() {
             if self.by_age.len() < MAX_REQUESTS && arrival.saturating_add(RETENTION) > now {
                 return;
             }
-            self.by_age.pop_front();
-            // An id that was removed and came again has another entry.
-            if self.arrivals.get(&id) == Some(&arrival) {
-                self.arrivals.remove(&id);
-            }
+            self.remove(id);
         }
     }
 }
