Bound what a server that sends without an end costs in one turn, and before its response

Cause: a connection to a server was read up to 128 times in one turn, and the library skips any number of interim responses without giving way. The same class as the floods of clients: work for one connection that ends when its peer wishes.

Change: connections to servers, discovery and the console are read at most twice in one turn, under 8 KiB each. What comes before the end of a response head is at most 64 KiB, with interim responses and empty lines; more ends the attempt as one that may have run.

Lab: scenario flooding-servers. An answer that a kill cuts is judged by when its client could see that: one that reads slowly finds the cut long after it. Below 64 kB/s a reader may be cut for others.

--- a/crates/lab/src/peer_faults/crowd.rs
+++ b/crates/lab/src/peer_faults/crowd.rs
@@ -6,9 +6,9 @@
 
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout_at};
+use tokio::time::{sleep, timeout, timeout_at};
 
-use super::exchange::{read_answer, request, request_head, write, Answer, ServerTask};
+use super::exchange::{read_answer, request, request_head, write, Answer, ServerFlood, ServerTask};
 use super::ledger::Ledger;
 use super::scenario::{Peers, Scenario};
 use super::steady::connect;
@@ -18,6 +18,8 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 /// A final answer may come so long after the time of its request, with what a busy machine may add.
 const LATE_ANSWER: Duration = Duration::from_millis(700);
+/// Time within which the clients of a killed process see its end.
+const KILL_VISIBLE: Duration = Duration::from_millis(100);
 const READ_PIECE: usize = 64 << 10;
 /// Time between two exchanges of one client.
 const PAUSE: Duration = Duration::from_millis(20);
@@ -60,6 +62,7 @@
                 Peers::Leaver { requests, resets, returns } => {
                     leaver::play(&self, requests, resets, returns).await;
                 }
+                Peers::ServerFlood(kind) => self.flooded_by_server(kind).await,
                 Peers::Flood(kind) => flood::play(&self, kind, end).await,
                 others => _ = timeout_at(end.into(), self.hold(others)).await,
             }
@@ -95,13 +98,16 @@
         };
         let Ok(sent) = written else { return };
         let answer = read_answer(&mut stream, PATIENCE, read_piece.0, read_piece.1).await;
-        if peers.send_whole_requests() {
-            self.judge(&format!("request of {peers:?}"), sent, answer);
+        let was_cut = matches!(answer, Ok(Some(Answer { is_whole: false, is_held_back: false, .. })));
+        if peers.send_whole_requests() && !(was_cut && peers.read_too_slowly()) {
+            // One that reads slowly finds the end of what a killed process had sent long after that.
+            let cut_since = if read_piece.1.is_zero() { just_now() } else { sent };
+            self.judge(&format!("request of {peers:?}"), sent, cut_since, answer);
         }
     }
 
-    /// Reports a request whose answer did not come in time, or not whole.
-    fn judge(&self, what: &str, sent: Instant, answer: std::io::Result<Option<Answer>>) {
+    /// Reports a request whose answer did not come in time, or not whole although no process was killed since `cut_since`.
+    fn judge(&self, what: &str, sent: Instant, cut_since: Instant, answer: std::io::Result<Option<Answer>>) {
         let answer = match answer {
             Ok(Some(answer)) => answer,
             Ok(None) => {
@@ -123,7 +129,7 @@
         if is_held_back {
             self.ledger.report(format!("the rest of the answer to {what} was held back"));
         } else if !is_whole {
-            self.ledger.report_unless_killed(format!("the answer to {what} was cut"));
+            self.ledger.report_unless_killed(format!("the answer to {what} was cut"), cut_since);
         }
     }
 
@@ -174,7 +180,24 @@
         };
         let answer = read_answer(&mut stream, PATIENCE, READ_PIECE, Duration::ZERO).await;
         let what = format!("request {id:016x} of {length} bytes to a server that reads {read_rate} B/s");
-        self.judge(&what, sent, answer);
+        self.judge(&what, sent, just_now(), answer);
+    }
+
+    /// A request whose server sends without an end: it is owed a final answer in time, or the beginning of one.
+    async fn flooded_by_server(&self, kind: ServerFlood) {
+        let mut stream = connect(self.to, &self.ledger).await;
+        let task = ServerTask { flood: Some(kind), ..ServerTask::default() };
+        let text = request(self.ledger.new_id(), &task, self.deadline, 0);
+        let Ok(sent) = write(&mut stream, &text).await else { return };
+        // The time of the head is judged; the rest is read as fast as it comes, until the server or this client ends it.
+        let limit = self.deadline + LATE_ANSWER;
+        let answer = timeout(limit, read_answer(&mut stream, limit, READ_PIECE, Duration::ZERO)).await;
+        if let Ok(Err(_) | Ok(None)) = answer {
+            self.ledger.report(format!(
+                "request to a flooding server ({kind:?}) unanswered after {:?}",
+                sent.elapsed()
+            ));
+        }
     }
 
     /// A request whose server writes a long answer slowly: it comes whole.
@@ -189,10 +212,17 @@
         };
         let Ok(sent) = write(&mut stream, &request(id, &task, self.deadline, 0)).await else { return };
         let answer = read_answer(&mut stream, PATIENCE, READ_PIECE, Duration::ZERO).await;
-        self.judge(&format!("request {id:016x} for {answer_length} bytes over {over_ms} ms"), sent, answer);
+        let what = format!("request {id:016x} for {answer_length} bytes over {over_ms} ms");
+        self.judge(&what, sent, just_now(), answer);
     }
 }
 
+/// The time since which a kill shows now to a client that reads as fast as it can.
+fn just_now() -> Instant {
+    let now = Instant::now();
+    now.checked_sub(KILL_VISIBLE).unwrap_or(now)
+}
+
 /// Returns a whole request in chunks.
 fn chunked_request(id: u64, task: &ServerTask, deadline: Duration, length: usize) -> Vec<u8> {
     const CHUNK: usize = 8_000;
--- a/crates/lab/src/peer_faults/exchange.rs
+++ b/crates/lab/src/peer_faults/exchange.rs
@@ -23,12 +23,54 @@
     pub read_rate: usize,
     /// Whether the answer has no length.
     pub has_no_length: bool,
+    /// What is sent at full speed instead of the answer, without an end.
+    pub flood: Option<ServerFlood>,
+}
+
+/// What a server sends at full speed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerFlood {
+    /// Fields of a head.
+    HeadFields,
+    /// Interim responses.
+    InterimResponses,
+    /// Empty lines before the status line.
+    EmptyLines,
+    /// Chunks of one byte.
+    SmallChunks,
+}
+
+impl ServerFlood {
+    /// All kinds; a request names one by its place here, counted from 1.
+    pub const ALL: [ServerFlood; 4] = [
+        ServerFlood::HeadFields,
+        ServerFlood::InterimResponses,
+        ServerFlood::EmptyLines,
+        ServerFlood::SmallChunks,
+    ];
+
+    /// What is sent once, and what is repeated behind it.
+    pub fn text(self) -> (&'static [u8], &'static [u8]) {
+        match self {
+            ServerFlood::HeadFields => (b"HTTP/1.1 200 OK\r\n", b"a: b\r\n"),
+            ServerFlood::InterimResponses => (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            ServerFlood::EmptyLines => (b"", b"\r\n"),
+            ServerFlood::SmallChunks => {
+                (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\ny\r\n")
+            }
+        }
+    }
 }
 
 impl ServerTask {
     fn query(&self) -> String {
-        let ServerTask { answer, over_ms, read_rate, has_no_length } = self;
-        format!("answer={answer}&over={over_ms}&rate={read_rate}&open={}", u8::from(*has_no_length))
+        let ServerTask { answer, over_ms, read_rate, has_no_length, flood } = self;
+        let flood =
+            ServerFlood::ALL.iter().position(|kind| Some(*kind) == *flood).map_or(0, |place| place + 1);
+        format!(
+            "answer={answer}&over={over_ms}&rate={read_rate}&open={}&flood={flood}",
+            u8::from(*has_no_length)
+        )
     }
 }
 
--- a/crates/lab/src/peer_faults/ledger.rs
+++ b/crates/lab/src/peer_faults/ledger.rs
@@ -7,8 +7,6 @@
 
 /// No attempt begins later than this after its client has left, with what a busy machine adds to two clocks.
 const LATEST_START_AFTER_LEAVING: Duration = Duration::from_millis(150);
-/// Time within which the clients of a killed process see its end.
-const KILL_VISIBLE: Duration = Duration::from_millis(100);
 /// How many violations of one kind are listed.
 const MAX_LISTED: usize = 8;
 
@@ -88,10 +86,10 @@
         self.kills.lock().unwrap_or_else(PoisonError::into_inner).push(at);
     }
 
-    /// Records a violation, unless a process was killed just now: an answer that a kill cuts is no fault of the node.
-    pub fn report_unless_killed(&self, violation: String) {
+    /// Records a violation, unless a process was killed since: an answer that a kill cuts is no fault of the node.
+    pub fn report_unless_killed(&self, violation: String, since: Instant) {
         let kills = self.kills.lock().unwrap_or_else(PoisonError::into_inner);
-        if kills.iter().all(|killed| killed.elapsed() > KILL_VISIBLE) {
+        if kills.iter().all(|&killed| killed < since) {
             self.report(violation);
         }
     }
--- a/crates/lab/src/peer_faults/pictures.rs
+++ b/crates/lab/src/peer_faults/pictures.rs
@@ -1,10 +1,11 @@
 //! Fixed scenarios: one for each way in which peers have harmed a node.
 
+use super::exchange::ServerFlood;
 use super::flood::Flood;
 use super::scenario::{Peers, Restart, RestartKind, Scenario};
 
 /// Names of the fixed scenarios.
-pub const PICTURES: [&str; 25] = [
+pub const PICTURES: [&str; 26] = [
     "calm",
     "stopped-uploads",
     "piecewise-uploads",
@@ -21,6 +22,7 @@
     "probes",
     "new-names",
     "unread-answers",
+    "flooding-servers",
     "slow-server-answers",
     "slow-server-reads",
     "leavers",
@@ -79,6 +81,11 @@
         "probes" => flood(Flood::Probes),
         "new-names" => flood(Flood::NewNames),
         "unread-answers" => flood(Flood::UnreadAnswers),
+        "flooding-servers" => Scenario {
+            peers: ServerFlood::ALL.map(|kind| (Peers::ServerFlood(kind), 1)).to_vec(),
+            busy_processes: Some(BUSY_PROCESSES),
+            ..calm.clone()
+        },
         "slow-server-answers" => few(&[true, false].map(|has_length| Peers::SlowServerWrite {
             answer: 120_000,
             over_ms: 3_000,
--- a/crates/lab/src/peer_faults/scenario.rs
+++ b/crates/lab/src/peer_faults/scenario.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::exchange::ServerFlood;
 use super::flood::Flood;
 
 /// One run: a node with its limits, its peers, and the signals that its processes get.
@@ -49,6 +50,9 @@
     }
 }
 
+/// Slowest rate at which a client may move a body, in bytes per second.
+const SLOWEST_READ_RATE: usize = 64_000;
+
 /// A kind of misbehaving peers. Lengths are in bytes, rates in bytes per second, times in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[allow(missing_docs)] // the fields are named after what they bound, with the units above
@@ -67,6 +71,8 @@
     SlowServerRead { length: usize, is_chunked: bool, rate: usize },
     /// Requests whose server writes its answer slowly, with or without a length.
     SlowServerWrite { answer: usize, over_ms: u64, has_length: bool },
+    /// Requests whose server sends without an end at full speed.
+    ServerFlood(ServerFlood),
     /// Clients that send small or invalid messages at full speed.
     Flood(Flood),
     /// Clients that send several requests at once and leave; `returns` sends their ids again on other connections.
@@ -82,6 +88,11 @@
         )
     }
 
+    /// Returns whether they read more slowly than a client may, so that a node may cut their answers for others.
+    pub fn read_too_slowly(self) -> bool {
+        matches!(self, Peers::SlowReader { rate, .. } if rate < SLOWEST_READ_RATE)
+    }
+
     /// Returns whether they are played on the thread of the judged clients, which no crowd holds up.
     pub fn are_judged(self) -> bool {
         matches!(self, Peers::SlowServerRead { .. } | Peers::SlowServerWrite { .. } | Peers::Leaver { .. })
--- a/crates/lab/src/peer_faults/server.rs
+++ b/crates/lab/src/peer_faults/server.rs
@@ -8,8 +8,9 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
+use super::exchange::ServerFlood;
 use super::ledger::Ledger;
 
 /// Number of servers, all on ports of their own.
@@ -21,6 +22,10 @@
 const READ_BYTES: usize = 16 << 10;
 /// Pieces in which a slow answer is written.
 const ANSWER_PIECES: usize = 24;
+/// Longest time for which a server sends at full speed.
+const FLOOD_TIME: Duration = Duration::from_secs(2);
+/// Messages in one write of a flood.
+const FLOOD_BATCH: usize = 512;
 /// Bytes of an answer that are written at once.
 static ANSWER_BLOCK: [u8; 64 << 10] = [b'y'; 64 << 10];
 
@@ -65,6 +70,7 @@
     over: Duration,
     read_rate: usize,
     has_no_length: bool,
+    flood: Option<ServerFlood>,
     length: Option<usize>, // `None`: in chunks
 }
 
@@ -85,6 +91,9 @@
             over: Duration::from_millis(parameter("over")? as u64),
             read_rate: parameter("rate")?,
             has_no_length: parameter("open")? == 1,
+            flood: parameter("flood")
+                .and_then(|place| place.checked_sub(1))
+                .and_then(|place| ServerFlood::ALL.get(place).copied()),
             length: (!is_chunked)
                 .then(|| field("content-length:").and_then(|text| text.parse().ok()).unwrap_or(0)),
         })
@@ -145,7 +154,23 @@
     }
 }
 
+/// Sends at full speed until the connection ends, for [`FLOOD_TIME`] at most.
+async fn flood(stream: &mut TcpStream, kind: ServerFlood) -> std::io::Result<()> {
+    let (start, repeated) = kind.text();
+    let repeated = repeated.repeat(FLOOD_BATCH);
+    stream.write_all(start).await?;
+    let begun = Instant::now();
+    while begun.elapsed() < FLOOD_TIME {
+        timeout(FLOOD_TIME, stream.write_all(&repeated)).await??;
+    }
+    Ok(())
+}
+
 async fn write_answer(stream: &mut TcpStream, task: &Task) -> std::io::Result<()> {
+    if let Some(kind) = task.flood {
+        flood(stream, kind).await?;
+        return Err(std::io::ErrorKind::ConnectionAborted.into());
+    }
     let framing = match task.has_no_length {
         true => "Connection: close".to_owned(),
         false => format!("Content-Length: {}", task.answer),
--- a/crates/lab/tests/peer_faults.rs
+++ b/crates/lab/tests/peer_faults.rs
@@ -52,6 +52,13 @@
     assert!(waits.refused * REFUSED_DIVISOR < waits.served, "{waits:?}");
 }
 
+/// The same where servers send heads, interim responses, empty lines and small chunks without an end.
+#[test]
+fn servers_that_send_without_an_end_leave_other_clients_served() {
+    let waits = play("flooding-servers").waits;
+    assert!(waits.refused * REFUSED_DIVISOR < waits.served, "{waits:?}");
+}
+
 /// Guards against work for clients that have gone: a request behind a close ran at the successor of an upgrade.
 #[test]
 fn no_attempt_begins_after_its_client_has_left_beside_an_upgrade() {
--- a/crates/node/src/console/mod.rs
+++ b/crates/node/src/console/mod.rs
@@ -27,6 +27,7 @@
 use tracing::{info, warn};
 
 use crate::capacity::MAX_CONSOLE_CONNECTIONS;
+use crate::fair_stream::FairStream;
 use crate::input::{ConsoleCommand, ConsoleReply, Input};
 use crate::stream::SharedStream;
 use merlinfold_fleet::LogHandle;
@@ -130,7 +131,7 @@
         .keep_alive(false)
         .header_read_timeout(CALL_TIMEOUT)
         .max_buf_size(8 << 10)
-        .serve_connection(TokioIo::new(SharedStream::new(stream)), service);
+        .serve_connection(TokioIo::new(FairStream::new(SharedStream::new(stream))), service);
     // Errors of the connection concern the caller only. The timeout covers a caller that never reads the answer.
     let _ = timeout(CALL_TIMEOUT + COMMIT_TIMEOUT, connection).await;
 }
--- a/crates/node/src/discovery/connection.rs
+++ b/crates/node/src/discovery/connection.rs
@@ -13,6 +13,7 @@
 use tokio::task::AbortHandle;
 
 use super::Query;
+use crate::fair_stream::FairStream;
 use crate::server_list::ServerList;
 use crate::stream::SharedStream;
 
@@ -77,7 +78,7 @@
     async fn open(to: SocketAddr) -> Result<Self, CallError> {
         let stream = TcpStream::connect(to).await.map_err(CallError::Unreachable)?;
         stream.set_nodelay(true).map_err(CallError::Unreachable)?;
-        let io = TokioIo::new(SharedStream::new(stream));
+        let io = TokioIo::new(FairStream::new(SharedStream::new(stream)));
         let (sender, connection) = http1::handshake(io).await.map_err(CallError::ConnectionLost)?;
         let task = tokio::spawn(connection).abort_handle();
         Ok(Connection { sender, task })
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod console;
 mod discovery;
 mod driver;
+mod fair_stream;
 mod front;
 mod handover;
 mod input;
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -10,6 +10,7 @@
     pub(super) sender: SendRequest<AttemptBody>,
     pub(super) stream: Arc<TcpStream>,
     pub(super) address: SocketAddr,
+    pub(super) head_limit: Arc<HeadLimit>,
     _task: AbortOnDrop,
     pub(super) slot: OwnedSemaphorePermit,
 }
@@ -29,7 +30,9 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let stream = Arc::new(stream);
-        let io = TokioIo::new(SharedStream(stream.clone()));
+        let head_limit = HeadLimit::new();
+        let io =
+            TokioIo::new(FairStream::new(SharedStream(stream.clone())).with_head_limit(head_limit.clone()));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(io)
@@ -39,7 +42,7 @@
             // An error is reported to the attempt on this connection.
             let _ = connection.await;
         });
-        Ok(Connection { sender, stream, address, _task: AbortOnDrop(task.abort_handle()), slot })
+        Ok(Connection { sender, stream, address, head_limit, _task: AbortOnDrop(task.abort_handle()), slot })
     }
 
     /// Returns whether the connection is known to have ended.
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -27,6 +27,7 @@
 use crate::body::{buffer_body, AttemptBody, BufferBudget, BufferedBody, OnTimeout, Upload, WithoutMemory};
 use crate::capacity::Slots;
 use crate::clock::Clock;
+use crate::fair_stream::{FairStream, HeadLimit};
 use crate::metrics::AttemptCounter;
 use crate::stream::{has_disconnected, limit_unsent_bytes, SharedStream};
 use merlinfold_decide::interface::{LoadReport, Nanos, ServerId, Status};
@@ -225,6 +226,7 @@
             Duration::from_nanos(response_timeout),
             &self.sent_attempts,
         );
+        connection.head_limit.head_awaited();
         let sent = connection.sender.try_send_request(request);
         // A streamed request is counted by its body. A buffered one that turns out to be unsent is counted one too many
         // until it is decremented below, and is then sent on another connection at once.
@@ -233,6 +235,7 @@
         }
         match sent.await {
             Ok(response) => {
+                connection.head_limit.head_received();
                 if let Some(upload) = upload {
                     upload.response_begun();
                 }
