Answer a request that crosses the close of a connection that gives way

Callers: a request could be closed without an answer beside a crowd that waits for slots.

Cause: a connection without a request for 0.2 s gives way to those that wait. What had come since its last read, up to one turn of the event loop before, was discarded behind the close.

Change: right before such a close the socket is asked for unread bytes; if there are any, 503 is written first, as to clients that are refused unread.

No test forces the crossing: its window is shorter than a test can place a write in.

--- a/crates/node/src/front/accept.rs
+++ b/crates/node/src/front/accept.rs
@@ -108,10 +108,13 @@
                 let _ = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
                 return;
             }
+            if end == ConnectionEnd::GaveWay && has_unread_bytes(&stream) {
+                let _ = stream.try_write(REFUSAL); // a request has just come; an error means that its client has left
+            }
             let _ = SockRef::from(&*stream).shutdown(Shutdown::Write); // an error means that it has already ended
             let reads = match end {
                 ConnectionEnd::Malformed => DISCARD_READS_WHEN_MALFORMED,
-                ConnectionEnd::Orderly | ConnectionEnd::Cut => DISCARD_READS,
+                ConnectionEnd::Orderly | ConnectionEnd::Cut | ConnectionEnd::GaveWay => DISCARD_READS,
             };
             let is_full = front.capacity.clients.free() == 0;
             let slot = front.exchange_for_closing(slot);
--- a/crates/node/src/front/connection.rs
+++ b/crates/node/src/front/connection.rs
@@ -23,6 +23,8 @@
     Cut,
     /// After an invalid message.
     Malformed,
+    /// For others that wait, while no request was in progress.
+    GaveWay,
 }
 
 impl Front {
@@ -120,21 +122,18 @@
 
     /// Counts a connection that a timeout closes.
     fn count_timeout(&self, reason: CloseReason) -> ConnectionEnd {
-        let count = match reason {
-            CloseReason::Evicted => return ConnectionEnd::Orderly, // counted as it was chosen
-            CloseReason::SlowReader => &self.stats.slow_readers,
-            CloseReason::NoRequest => &self.stats.silent,
-            CloseReason::Stalled => &self.stats.stalled,
-            CloseReason::DrainLimit => &self.stats.cut_by_drain,
+        let (count, end) = match reason {
+            CloseReason::Evicted => return ConnectionEnd::GaveWay, // counted as it was chosen
+            CloseReason::NoRequest => (&self.stats.silent, ConnectionEnd::Orderly),
+            CloseReason::Stalled => (&self.stats.stalled, ConnectionEnd::Cut),
+            CloseReason::DrainLimit => (&self.stats.cut_by_drain, ConnectionEnd::Cut),
+            CloseReason::SlowReader => (&self.stats.slow_readers, ConnectionEnd::Cut),
         };
         increment(count);
         if self.posture.borrow().stop.is_some() {
             info!(?reason, "client connection closed by a timeout while the node stops");
         }
-        match reason {
-            CloseReason::NoRequest | CloseReason::Evicted => ConnectionEnd::Orderly,
-            CloseReason::Stalled | CloseReason::DrainLimit | CloseReason::SlowReader => ConnectionEnd::Cut,
-        }
+        end
     }
 
     /// Counts a connection that ends because of an invalid or incomplete message; other errors are reported to the
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -41,7 +41,8 @@
 use crate::memory::Purpose;
 use crate::request_head::RequestHead;
 use crate::stream::{
-    has_disconnected, has_input, is_transient, limit_unsent_bytes, MonitoredStream, SharedStream,
+    has_disconnected, has_input, has_unread_bytes, is_transient, limit_unsent_bytes, MonitoredStream,
+    SharedStream,
 };
 use crate::upstream::{Relay, RequestBody, ServerResponseBody, UpstreamRequest};
 use merlinfold_decide::interface::{Nanos, RequestId, Settings};
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -66,6 +67,11 @@
     }
 }
 
+/// Returns whether the stream has bytes to read now, whether or not the runtime knows of them.
+pub fn has_unread_bytes(stream: &TcpStream) -> bool {
+    SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|count| count > 0)
+}
+
 /// Returns whether a failed call transferred nothing and is to be repeated once the stream is ready.
 pub fn is_transient(error: &io::Error) -> bool {
     matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
