Write what has come of a streamed answer before its failure ends the connection

Cause: head, first bytes and failure reached the library in one turn; it gives up the connection at a failure with the head unwritten. While answers waited for memory, that wait had it written first.

Change: a failure is passed on one turn after it is seen; what was given before is written in between.

--- a/crates/node/src/upstream/relay.rs
+++ b/crates/node/src/upstream/relay.rs
@@ -21,6 +21,7 @@
     bytes_left: Option<u64>, // bytes still to be sent; `None` if the length is unknown
     connection: Option<Connection>,
     end_callback: Option<EndCallback>,
+    failure: Option<hyper::Error>, // of the server's connection
 }
 
 impl std::fmt::Debug for Relay {
@@ -35,7 +36,7 @@
         let bytes_left = rest.size_hint().exact().map(|rest| rest + prefix.bytes.len() as u64);
         let buffered = BufferedBody::from(prefix).bytes;
         let buffered = VecDeque::from_iter(Some(buffered).filter(|buffered| !buffered.is_empty()));
-        Relay { buffered, rest, bytes_left, connection: Some(connection), end_callback: None }
+        Relay { buffered, rest, bytes_left, connection: Some(connection), end_callback: None, failure: None }
     }
 
     /// Calls `callback` once, when the response has ended.
@@ -58,6 +59,10 @@
     fn poll_frame(
         mut self: Pin<&mut Self>, cx: &mut Context,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        if let Some(error) = self.failure.take() {
+            self.end(RequestEnd::Failed);
+            return Poll::Ready(Some(Err(error)));
+        }
         let data = match self.buffered.pop_front() {
             Some(buffered) => buffered,
             None => {
@@ -67,8 +72,10 @@
                         return Poll::Ready(None);
                     }
                     Some(Err(error)) => {
-                        self.end(RequestEnd::Failed);
-                        return Poll::Ready(Some(Err(error)));
+                        // A failure ends the client's connection: what it was given before is written first.
+                        self.failure = Some(error);
+                        cx.waker().wake_by_ref();
+                        return Poll::Pending;
                     }
                     // Trailers are not forwarded: they belong to one hop.
                     Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
