Have only those give way who hold what is waited for, and log how client connections end

Cause: whenever anything was short, the connection that had moved nothing for the longest time gave way. One that has sent nothing holds no body, so its end helped nobody.

Change: for the memory of bodies connections give way on which a body is received; for the heap those whose client has sent something; for a slot any. New lines on the debug level: how a client's connection ends, and requests answered without the driver.

--- a/crates/cli/tests/bodies.rs
+++ b/crates/cli/tests/bodies.rs
@@ -455,3 +455,31 @@
     }
     assert_eq!(node.request("read").status(), 200);
 }
+
+/// Guards a client that has not sent its request yet against being closed for bodies that wait for memory: it holds none.
+#[test]
+fn a_client_that_sends_nothing_yet_is_kept_while_bodies_wait_for_memory() {
+    let server = Server::start(|_| Reply::Write(response(200, "", "pong")));
+    let known = [("s", server.address)];
+    let (_list_source, discovery) = Discovery::start(&known);
+    let mut config = config(discovery.address, &known);
+    config["limits"]["memory_mb"] = json!(1);
+    let node = RunningNode::start(&config);
+    let mut silent = node.client();
+    let stopped: Vec<TcpStream> = (0..20)
+        .map(|_| {
+            let mut stream = TcpStream::connect(node.address).unwrap();
+            let id = new_transaction_id();
+            let head = format!("POST /pay HTTP/1.1\r\nHost: x\r\nX-Lane: pay\r\nX-Txn: {id}\r\n");
+            write!(stream, "{head}Content-Length: 60000\r\n\r\nx").unwrap();
+            stream
+        })
+        .collect();
+    // Those that have moved nothing for the longest time give way, as long as others wait for their memory.
+    for mut stream in stopped.iter().take(8) {
+        let mut answer = [0; 12];
+        stream.read_exact(&mut answer).unwrap();
+        assert!(matches!(&answer[9..], b"503" | b"408"), "{}", String::from_utf8_lossy(&answer));
+    }
+    assert_eq!(silent.request("read").status(), 200);
+}
--- a/crates/node/src/connection_timeouts.rs
+++ b/crates/node/src/connection_timeouts.rs
@@ -198,6 +198,16 @@
         self.has_partial_request() && !self.request_active.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the client has sent anything.
+    pub fn is_used(&self) -> bool {
+        self.has_partial_request() || self.had_request.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the body of a request is being received.
+    pub fn is_receiving_body(&self) -> bool {
+        self.has_partial_request() && self.request_active.load(Ordering::Relaxed)
+    }
+
     /// Records that the response has been handed to the connection in full, or was abandoned.
     pub fn response_ended(&self, now: Nanos) {
         self.response_ended_at.store(now, Ordering::Relaxed);
--- a/crates/node/src/front/accept.rs
+++ b/crates/node/src/front/accept.rs
@@ -103,6 +103,8 @@
                     &ends_by_close,
                 )
                 .await;
+            let (peer, open_for) = (stream.peer_addr().ok(), accepted_at.elapsed());
+            debug!(?peer, ?end, ?open_for, "client connection ends");
             if end == ConnectionEnd::Cut && ends_by_close.load(Ordering::Relaxed) {
                 // An orderly close would end the response for its client. An error means that it has already ended.
                 let _ = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
--- a/crates/node/src/front/eviction.rs
+++ b/crates/node/src/front/eviction.rs
@@ -15,17 +15,20 @@
 impl Front {
     /// Ends connections that move too little, while others wait for a slot or memory.
     pub(super) fn evict_for_others(&self) {
-        let is_short = self.slot_waiters.count() + self.capacity.bodies.waiting() > 0
-            || !self.capacity.process_memory.allows(Purpose::StillConnection);
-        if is_short {
-            self.evict_still();
+        let memory = &self.capacity.process_memory;
+        if self.slot_waiters.count() > 0 {
+            self.evict(Candidates::All);
+        } else if !memory.allows(Purpose::StillConnection) {
+            self.evict(Candidates::Used);
+        } else if self.capacity.bodies.waiting() > 0 {
+            self.evict(Candidates::ReceivingBody);
         }
     }
 
-    fn evict_still(&self) {
+    fn evict(&self, candidates: Candidates) {
         let is_stopping = self.posture.borrow().stop.is_some();
         let limit = if is_stopping { STILL_TIME_AT_STOP } else { STILL_TIME };
-        let evicted = (0..MAX_EVICTIONS).take_while(|_| self.open.evict(limit)).count();
+        let evicted = (0..MAX_EVICTIONS).take_while(|_| self.open.evict(candidates, limit)).count();
         self.stats.evicted.fetch_add(evicted as u64, Ordering::Relaxed);
     }
 
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -64,7 +64,7 @@
 use eviction::{evicted_upload, status_of};
 pub use listener::ClientListener;
 use listener::BACKLOG;
-use open_connections::OpenConnections;
+use open_connections::{Candidates, OpenConnections};
 use response::*;
 use stall::StallDetector;
 use stats::{increment, ConnectionStats};
@@ -220,6 +220,7 @@
         &self, request: Request<Incoming>, active_request: ActiveRequest,
         first_request_since: Option<Instant>,
     ) -> Result<Response<TrackedBody>, Infallible> {
+        let txn = request.headers().get("x-txn").cloned();
         let result = self.process_request(request, &active_request, first_request_since).await;
         // A connection with an invalid request is closed after the error, so that it does not hold a slot.
         let is_invalid = result.is_err();
@@ -227,6 +228,7 @@
             Ok(response) => response,
             Err(status) => {
                 increment(&self.stats.rejected);
+                debug!(?txn, %status, "request answered without the driver");
                 let mut response = Response::new(ClientBody::empty());
                 *response.status_mut() = status;
                 response
--- a/crates/node/src/front/open_connections.rs
+++ b/crates/node/src/front/open_connections.rs
@@ -12,6 +12,17 @@
     next: AtomicU64,
 }
 
+/// Which connections may give way: those that hold what others wait for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Candidates {
+    /// Any, for a slot.
+    All,
+    /// Those whose clients have sent something, for memory of the process.
+    Used,
+    /// Those on which a body is being received, for the memory of bodies.
+    ReceivingBody,
+}
+
 struct OpenConnection {
     timeouts: Arc<ConnectionTimeouts>,
     accepted_at: Instant,
@@ -40,11 +51,18 @@
         self.lock().len()
     }
 
-    /// Evicts the connection that has moved nothing for the longest time, if that is at least `limit`, or else the one
+    /// Evicts the candidate that has moved nothing for the longest time, if that is at least `limit`, or else the one
     /// whose client reads most too slowly. Returns whether there was one.
-    pub(super) fn evict(&self, limit: Nanos) -> bool {
+    pub(super) fn evict(&self, candidates: Candidates, limit: Nanos) -> bool {
         let connections = self.lock();
-        let present = || connections.values().filter(|open| !open.timeouts.is_evicted());
+        let is_candidate = |open: &OpenConnection| match candidates {
+            Candidates::All => true,
+            Candidates::Used => open.timeouts.is_used(),
+            Candidates::ReceivingBody => open.timeouts.is_receiving_body(),
+        };
+        let present = || {
+            connections.values().filter(|open| !open.timeouts.is_evicted()).filter(|open| is_candidate(open))
+        };
         let still = present().filter_map(|open| Some((open.timeouts.still_for(open.age())?, open)));
         let longest = still.filter(|(time, _)| *time >= limit).max_by_key(|(time, _)| *time);
         let slow = present().filter_map(|open| Some((open.timeouts.unread_too_long(open.age())?, open)));
