--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for number in 6 7 8 9 10; do
-    [ -f "review/$number/case.rs" ] || continue
+for number in 6 7 9 10; do
     rustc --edition 2021 -O -o "target/review-2/case-$number" "review/$number/case.rs"
 done
