Count an answer as cut off only where its connection has ended (case 10)

Cause: a reader to whom nothing more came for 10 s was counted as cut off as well. None was, but a variant of the case with guide servers that pause for 12 s showed it.

Change: only the end of the connection counts.

--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -3,7 +3,7 @@
 #[path = "../standins-2.rs"]
 mod standins;
 
-use std::io::Read;
+use std::io::{ErrorKind, Read};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
@@ -104,14 +104,14 @@
                 let length: usize =
                     head.field("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
                 let keep = head.field("connection").is_none_or(|value| value != "close");
-                let read = if is_long {
-                    read_slowly(&mut wire, length, pause)
-                } else {
-                    wire.read_body(&mut head, true).map_or(0, |()| length)
+                let (read, has_ended) = match is_long {
+                    true => read_slowly(&mut wire, length, pause),
+                    false => wire.read_body(&mut head, true).map_or((0, false), |()| (length, false)),
                 };
                 match read == length {
                     true => ("whole".to_owned(), keep),
-                    false => (format!("cut off after {read} of {length} bytes"), false),
+                    false if has_ended => (format!("cut off after {read} of {length} bytes"), false),
+                    false => (format!("none: {read} of {length} bytes"), false),
                 }
             }
             Ok(Some(head)) if matches!(head.status(), 429 | 503) => ("refused".to_owned(), false),
@@ -128,8 +128,9 @@
     ends
 }
 
-/// Reads an answer whose bytes beyond the head follow on the connection; returns how many came.
-fn read_slowly(wire: &mut Wire, length: usize, pause: Option<Duration>) -> usize {
+/// Reads an answer whose bytes beyond the head follow on the connection, up to its end or that of the connection. Returns
+/// how many came, and whether the connection has ended; it has not where nothing more comes for 10 s.
+fn read_slowly(wire: &mut Wire, length: usize, pause: Option<Duration>) -> (usize, bool) {
     let mut piece = [0; 32_768];
     let mut read = wire.take_ahead();
     let mut pause = pause;
@@ -141,8 +142,9 @@
         }
         match wire.stream.read(&mut piece) {
             Ok(count) if count > 0 => read += count,
-            _ => break,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return (read, false),
+            _ => return (read, true),
         }
     }
-    read
+    (read, false)
 }
