--- a/crates/lab/src/peer_faults/draw.rs
+++ b/crates/lab/src/peer_faults/draw.rs
@@ -65,6 +65,11 @@
         let signals = random.u32(1..4);
         scenario.restarts.push(Restart { at: random.f64() * seconds / 2.0, kind, signals });
     }
+    if random.u8(..4) == 0 {
+        let (pauses, pause_ms) = (random.usize(1..4), random.u64(500..3_500));
+        let answer = random.usize(70_000..3_000_000);
+        scenario.peers.push((Peers::PausingReader { answer, pauses, pause_ms }, crowd / 4));
+    }
     scenario
 }
 
--- a/crates/lab/src/peer_faults/leaver.rs
+++ b/crates/lab/src/peer_faults/leaver.rs
@@ -6,7 +6,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::crowd::CrowdClient;
-use super::exchange::{read_answer, request, ServerTask};
+use super::exchange::{read_answer, request, ReadPace, ServerTask};
 use super::steady::connect;
 
 /// Longest time from the requests to the close.
@@ -35,7 +35,7 @@
     if returns {
         let mut stream = connect(client.to, &client.ledger).await;
         if stream.write_all(&one_request(client, ids[0])).await.is_ok() {
-            let answer = read_answer(&mut stream, PATIENCE, BODY, Duration::ZERO);
+            let answer = read_answer(&mut stream, PATIENCE, ReadPace::without_pause(BODY));
             let _ = timeout(PATIENCE, answer).await;
         }
     }
--- a/crates/lab/src/peer_faults/scenario.rs
+++ b/crates/lab/src/peer_faults/scenario.rs
@@ -52,6 +52,8 @@
 
 /// Slowest rate at which a client may move a body, in bytes per second.
 const SLOWEST_READ_RATE: usize = 64_000;
+/// Pauses that a reader may make in one answer, taken together: it may take seconds to read, in pieces of any size.
+pub const LONGEST_PAUSES: Duration = Duration::from_secs(30);
 
 /// A kind of misbehaving peers. Lengths are in bytes, rates in bytes per second, times in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -67,6 +69,8 @@
     ManyFields { fields: usize, is_whole: bool },
     /// Clients that read a long answer slowly.
     SlowReader { answer: usize, rate: usize },
+    /// Clients that pause while they read a long answer, and read the rest at full speed.
+    PausingReader { answer: usize, pauses: usize, pause_ms: u64 },
     /// Requests whose server reads the body slowly.
     SlowServerRead { length: usize, is_chunked: bool, rate: usize },
     /// Requests whose server writes its answer slowly, with or without a length.
@@ -84,11 +88,15 @@
     pub fn send_whole_requests(self) -> bool {
         matches!(
             self,
-            Peers::LongExchange { .. } | Peers::SlowReader { .. } | Peers::ManyFields { is_whole: true, .. }
+            Peers::LongExchange { .. }
+                | Peers::SlowReader { .. }
+                | Peers::PausingReader { .. }
+                | Peers::ManyFields { is_whole: true, .. }
         )
     }
 
-    /// Returns whether they read more slowly than a client may, so that a node may cut their answers for others.
+    /// Returns whether they read more slowly than a client may beside its pauses: once it has had these, a node may cut
+    /// its answer for others.
     pub fn read_too_slowly(self) -> bool {
         matches!(self, Peers::SlowReader { rate, .. } if rate < SLOWEST_READ_RATE)
     }
--- a/crates/lab/tests/peer_faults.rs
+++ b/crates/lab/tests/peer_faults.rs
@@ -107,6 +107,13 @@
     play("slow-readers");
 }
 
+/// Guards long answers against a node that cuts them off for others because their readers pause for 3 s.
+#[test]
+fn no_answer_is_cut_whose_reader_pauses_while_others_wait() {
+    let waits = play("pausing-readers").waits;
+    assert!(waits.served > waits.refused, "{waits:?}");
+}
+
 /// Guards the memory limit of both processes together, and clients that wait for the one that ends.
 #[test]
 fn an_upgrade_beside_hundreds_of_stopped_requests_stays_within_the_memory_of_one_node() {
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -34,12 +34,14 @@
 mod claims;
 mod configuration;
 mod lists;
+mod long_answers;
 mod orders;
 mod pending_request;
 mod recent_requests;
 mod requests;
 mod stats;
 
+use long_answers::{LongAnswers, Resource};
 use pending_request::{AttemptRecord, PendingRequest};
 use recent_requests::RecentRequests;
 use stats::{AttemptStats, ListStatus, StreamedBodies};
@@ -90,6 +92,7 @@
     requests: HashMap<RequestId, PendingRequest>,
     runs_once: Vec<bool>,   // by class: whether a request must not run more than once
     recent: RecentRequests, // of the classes whose requests run once
+    long_answers: LongAnswers,
     shared_claims: Option<SharedClaims>, // while another process of this node runs
     schedule: BinaryHeap<Reverse<(Nanos, ScheduledTask)>>,
     events: VecDeque<Event>,
@@ -135,6 +138,7 @@
             requests: HashMap::new(),
             runs_once: Vec::new(),
             recent: RecentRequests::default(),
+            long_answers: LongAnswers::default(),
             shared_claims: None,
             schedule: BinaryHeap::from([
                 Reverse((clock.now() + POOL_SWEEP_INTERVAL, ScheduledTask::PoolSweep)),
--- a/crates/node/src/driver/pending_request.rs
+++ b/crates/node/src/driver/pending_request.rs
@@ -8,6 +8,7 @@
     pub(super) reply_sender: Option<oneshot::Sender<Reply>>, // `None` once answered or abandoned
     pub(super) request: Arc<UpstreamRequest>,
     pub(super) claim: Option<u64>, // its transaction id, if it must not run more than once
+    pub(super) resource: Resource,
     pub(super) may_have_run: bool,
     pub(super) deadline: Nanos,
     pub(super) attempts: Vec<AttemptRecord>,
@@ -27,7 +28,7 @@
     pub(super) fn finish(&mut self, reply: Option<Reply>, metrics: &mut Metrics) -> bool {
         let Some(client) = self.reply_sender.take() else { return false };
         self.request.cancellation.cancel();
-        self.request.release_body();
+        self.request.release();
         let end = match &reply {
             // A streamed response ends with its last byte.
             Some(reply) if reply.is_streamed() => None,
--- a/crates/node/src/driver/requests.rs
+++ b/crates/node/src/driver/requests.rs
@@ -29,12 +29,14 @@
         );
         self.metrics.request_received(class);
         let is_streamed = upstream_request.upload().is_some();
+        let resource = upstream_request.with_target(|method, uri| self.long_answers.resource(method, uri));
         let attempts = Vec::new();
         let mut pending = PendingRequest {
             class,
             reply_sender: Some(client),
             request: upstream_request,
             claim: None,
+            resource,
             may_have_run: false,
             deadline,
             attempts,
@@ -44,6 +46,18 @@
             pending.finish(Some(Reply::Refused { retry_after: 0 }), &mut self.metrics);
             return;
         }
+        if self.long_answers.expects(resource) && !self.capacity.process_memory.allows(Purpose::LongAnswer) {
+            debug!(
+                request = id.0,
+                txn = pending.request.transaction_id(),
+                allocated = self.capacity.process_memory.allocated(),
+                reason = "no memory for a long answer",
+                "request refused"
+            );
+            self.attempt_stats.long_answers_refused += 1;
+            pending.finish(Some(Reply::Refused { retry_after: 0 }), &mut self.metrics);
+            return;
+        }
         match self.claim(class, &pending.request) {
             Ok(claim) => pending.claim = claim,
             Err(AlreadyClaimed) => {
@@ -86,6 +100,8 @@
         let (server, sent) = (record.server, record.started);
         pending.may_have_run |= !outcome.status.never_ran();
         if let Some(mut response) = outcome.response {
+            let is_long = matches!(response.body, ServerResponseBody::Streamed(_));
+            self.long_answers.record(pending.resource, is_long);
             if let ServerResponseBody::Streamed(relay) = &mut response.body {
                 let inputs = self.inputs.clone();
                 relay.on_end(move |end, connection| {
--- a/crates/node/src/driver/stats.rs
+++ b/crates/node/src/driver/stats.rs
@@ -10,6 +10,7 @@
     pub(super) by_status: [u64; 8], // number of attempts, indexed by status
     pub(super) slowest: Nanos,      // latency of the slowest successful attempt
     pub(super) failed_by_server: HashMap<ServerId, u64>, // failed attempts by server
+    pub(super) long_answers_refused: u64, // requests refused because there was no memory for a long answer
 }
 
 /// The state of the server list.
@@ -41,7 +42,7 @@
     /// Writes the log lines if any request or attempt did not succeed, and resets the statistics.
     pub(super) fn report(&mut self, names: &NameTables, list: ListStatus, totals: Totals) {
         let next = AttemptStats { requests: totals, ..AttemptStats::default() };
-        let AttemptStats { requests, sent, by_status, slowest, failed_by_server } =
+        let AttemptStats { requests, sent, by_status, slowest, failed_by_server, long_answers_refused } =
             std::mem::replace(self, next);
         let since = totals.since(&requests);
         let (requests, served, refused) =
@@ -55,7 +56,18 @@
         let worst = worst.map(|(id, count)| format!("{}:{count}", names.servers.name(id.0 as usize)));
         let ListStatus { version, age, ready } = list;
         let list_age_ms = age.map(|age| age / MILLISECOND);
-        info!(requests, served, refused, failed, left, ready, list = version, list_age_ms, "answers");
+        info!(
+            requests,
+            served,
+            refused,
+            long_answers_refused,
+            failed,
+            left,
+            ready,
+            list = version,
+            list_age_ms,
+            "answers"
+        );
         info!(
             sent,
             ok = count(Status::Ok),
--- a/crates/node/src/memory.rs
+++ b/crates/node/src/memory.rs
@@ -30,6 +30,8 @@
     IdleConnection,
     /// To take in a body beyond what every connection buffers.
     Body,
+    /// To send a request whose answer is expected to be long.
+    LongAnswer,
     /// To keep a client's connection that moves too little.
     StillConnection,
     /// To send a request to a server.
@@ -46,6 +48,7 @@
         match self {
             Purpose::IdleConnection => 50,
             Purpose::Body => 65,
+            Purpose::LongAnswer => 70,
             Purpose::StillConnection => 80,
             Purpose::Attempt => 88,
             Purpose::Request => 90,
--- a/crates/node/src/read_progress.rs
+++ b/crates/node/src/read_progress.rs
@@ -9,6 +9,8 @@
 /// Bytes in which the kernels of both sides make room at once: what a client has read shows in steps of this size.
 const STEP_BYTES: u64 = 96 << 10;
 const SECOND: Nanos = 1_000_000_000;
+/// Time that a client may pause in one response altogether: peers take seconds to read, in pieces of any size.
+const PAUSE_ALLOWANCE: Nanos = 30 * SECOND;
 
 /// What a client has read of a response since it first held up its connection.
 #[derive(Debug, Default)]
@@ -40,7 +42,7 @@
     /// Returns how many bytes less the client has read than it has to, or `None` if it reads as fast.
     pub fn missing_bytes(&self, now: Nanos) -> Option<u64> {
         let since = Some(self.held_up_since.load(Ordering::Relaxed)).filter(|&since| since > 0)?;
-        let owed = now.saturating_sub(since) / (SECOND / MIN_BYTES_PER_SECOND);
+        let owed = now.saturating_sub(since + PAUSE_ALLOWANCE) / (SECOND / MIN_BYTES_PER_SECOND);
         let missing = owed.saturating_sub(self.bytes.load(Ordering::Relaxed) + STEP_BYTES);
         Some(missing).filter(|&missing| missing > 0)
     }
--- a/crates/node/src/upstream/request.rs
+++ b/crates/node/src/upstream/request.rs
@@ -4,9 +4,8 @@
 
 /// A client's request as it is sent to servers.
 pub struct UpstreamRequest {
-    pub method: Method,
-    pub uri: Uri,
-    pub headers: HeaderMap,
+    transaction_id: String,
+    head: Mutex<RequestHead>,
     pub body: RequestBody,
     /// Cancelled when the client has left or has its response: attempts not yet written must not be sent. Whoever
     /// notices first cancels it, so that no queue delays the effect on an attempt that is about to begin.
@@ -16,6 +15,14 @@
     client_socket: Option<Weak<TcpStream>>,
 }
 
+/// The head of a request. Its values keep the buffer into which the client's connection read it.
+#[derive(Default)]
+struct RequestHead {
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+}
+
 /// The body of a client request.
 pub enum RequestBody {
     /// In memory, for any number of attempts; empty once the request is answered.
@@ -46,9 +53,9 @@
     header::CONTENT_LENGTH, // the node sets the framing of the forwarded request
 ];
 
-/// Locks a body, which is replaced as a whole and so stays valid after a panic.
-fn lock(body: &Mutex<BufferedBody>) -> MutexGuard<'_, BufferedBody> {
-    body.lock().unwrap_or_else(PoisonError::into_inner)
+/// Locks a part of a request, which is replaced as a whole and so stays valid after a panic.
+fn lock<T>(part: &Mutex<T>) -> MutexGuard<'_, T> {
+    part.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl UpstreamRequest {
@@ -68,8 +75,14 @@
         {
             headers.remove(name);
         }
-        let cancellation = CancellationToken::new();
-        UpstreamRequest { method, uri, headers, body, cancellation, client_socket: None }
+        let transaction_id = headers.get("x-txn").and_then(|value| value.to_str().ok()).unwrap_or_default();
+        UpstreamRequest {
+            transaction_id: transaction_id.to_owned(),
+            head: Mutex::new(RequestHead { method, uri, headers }),
+            body,
+            cancellation: CancellationToken::new(),
+            client_socket: None,
+        }
     }
 
     /// Sets the socket on which the request came.
@@ -92,11 +105,18 @@
 
     /// Returns the transaction id that the client gave, for the log.
     pub fn transaction_id(&self) -> &str {
-        self.headers.get("x-txn").and_then(|value| value.to_str().ok()).unwrap_or_default()
+        &self.transaction_id
     }
 
-    /// Frees the body. The request is answered, and no further attempt begins.
-    pub fn release_body(&self) {
+    /// Applies a function to the method and the URI; both are empty once the request is released.
+    pub fn with_target<T>(&self, apply: impl FnOnce(&Method, &Uri) -> T) -> T {
+        let head = lock(&self.head);
+        apply(&head.method, &head.uri)
+    }
+
+    /// Frees the head and the body. The request is answered, and no further attempt begins.
+    pub fn release(&self) {
+        *lock(&self.head) = RequestHead::default();
         if let RequestBody::Buffered(body) = &self.body {
             *lock(body) = BufferedBody::small(Bytes::new());
         }
@@ -121,9 +141,12 @@
             }
             RequestBody::Streamed(upload) => AttemptBody::streamed(upload.clone(), sent_attempts.clone()),
         });
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.headers.clone();
+        {
+            let head = lock(&self.head);
+            *request.method_mut() = head.method.clone();
+            *request.uri_mut() = head.uri.clone();
+            *request.headers_mut() = head.headers.clone();
+        }
         let headers = request.headers_mut();
         if !headers.contains_key(header::HOST) {
             headers.insert(
