--- a/crates/node/src/body/upload.rs
+++ b/crates/node/src/body/upload.rs
@@ -35,6 +35,7 @@
     taken_at: AtomicU64,       // when a connection last took bytes
     completed_at: AtomicU64,   // when the last byte was handed to a connection; 0: not yet
     completion: Notify,
+    abandonment: Notify,
     clock: Clock,
     answer_by: Nanos, // when the node has to have answered in any case
     _stream_memory: BufferReservation,
@@ -45,6 +46,7 @@
     prefix: Bytes,
     reservation: BufferReservation,
     rest: Incoming,
+    is_abandoned: bool, // nothing more of it is handed to a connection
 }
 
 impl Upload {
@@ -60,7 +62,7 @@
         input.bytes_read(prefix.bytes.len() as u64, clock.now());
         let BodyPrefix { bytes, reservation, .. } = prefix;
         Upload {
-            state: Mutex::new(UploadState { input, prefix: bytes, reservation, rest }),
+            state: Mutex::new(UploadState { input, prefix: bytes, reservation, rest, is_abandoned: false }),
             length: length_hint,
             consumed: AtomicBool::new(false),
             stalled: AtomicBool::new(false),
@@ -69,6 +71,7 @@
             taken_at: AtomicU64::new(0),
             completed_at: AtomicU64::new(0),
             completion: Notify::new(),
+            abandonment: Notify::new(),
             clock,
             answer_by,
             _stream_memory: stream_memory,
@@ -110,6 +113,35 @@
         self.completed_at().is_some() || self.response_begun.load(Ordering::Relaxed)
     }
 
+    /// Gives the upload up unless a server may have run the request. Returns whether none has and none can: from now on no
+    /// connection gets any more of the body.
+    pub fn abandon(&self) -> bool {
+        let mut state = self.lock();
+        if self.may_have_run() {
+            return false;
+        }
+        state.is_abandoned = true;
+        drop(state);
+        self.abandonment.notify_waiters();
+        true
+    }
+
+    /// Returns whether the upload was given up before a server could run the request.
+    pub fn is_abandoned(&self) -> bool {
+        self.lock().is_abandoned
+    }
+
+    /// Waits until the upload is given up.
+    pub async fn wait_until_abandoned(&self) {
+        loop {
+            let changed = self.abandonment.notified();
+            if self.is_abandoned() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Waits until the last byte has been handed to a connection, and returns that time.
     pub async fn wait_until_complete(&self) -> Nanos {
         loop {
@@ -210,6 +242,9 @@
             AttemptBody::Buffered(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             AttemptBody::Streamed { upload, prefix_sent, stall_timer, sent_attempts } => {
                 let mut state = upload.lock();
+                if state.is_abandoned {
+                    return Poll::Ready(Some(Err(io::ErrorKind::ConnectionAborted.into())));
+                }
                 if !std::mem::replace(prefix_sent, true) && !state.prefix.is_empty() {
                     upload.taken();
                     return Poll::Ready(Some(Ok(Frame::data(state.prefix.clone()))));
--- a/crates/node/src/driver/mod.rs
+++ b/crates/node/src/driver/mod.rs
@@ -227,6 +227,7 @@
                 }
                 self.remove_if_finished(id);
             }
+            Input::UploadAbandoned(id) => self.refuse_abandoned(id),
             Input::Uploaded(id) => self.handle_event(Event::BodySent(id)),
             Input::ResponseEnded { id, end, connection } => {
                 if let Some(pending) = self.requests.get_mut(&id) {
--- a/crates/node/src/driver/pending_request.rs
+++ b/crates/node/src/driver/pending_request.rs
@@ -59,10 +59,13 @@
         self.request.upload().is_some_and(|upload| upload.completed_at().is_none())
     }
 
+    /// Returns whether an attempt is in progress.
+    pub(super) fn has_attempt(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.task.is_some())
+    }
+
     /// Returns whether the request is answered and no attempt or response is in progress.
     pub(super) fn is_finished(&self) -> bool {
-        self.reply_sender.is_none()
-            && !self.is_streaming
-            && self.attempts.iter().all(|attempt| attempt.task.is_none())
+        self.reply_sender.is_none() && !self.is_streaming && !self.has_attempt()
     }
 }
--- a/crates/node/src/driver/requests.rs
+++ b/crates/node/src/driver/requests.rs
@@ -109,7 +109,9 @@
                 });
             }
             pending.finish(Some(Reply::Served(response)), &mut self.metrics);
-        } else if let Some(upload) = pending.request.upload().filter(|upload| upload.is_consumed()) {
+        } else if let Some(upload) =
+            pending.request.upload().filter(|upload| upload.is_consumed() || upload.is_abandoned())
+        {
             // The consumed part of the body cannot be sent again, so this attempt was the last.
             let reply = match outcome.status {
                 _ if upload.is_stalled() => Reply::Stalled,
@@ -154,6 +156,18 @@
         }
     }
 
+    /// Refuses a streamed request that was given up before a server could run it. The end of an attempt that is under way
+    /// does so as well, once that attempt can send nothing more.
+    pub(super) fn refuse_abandoned(&mut self, id: RequestId) {
+        let Some(pending) = self.requests.get_mut(&id).filter(|pending| !pending.has_attempt()) else {
+            return;
+        };
+        if pending.finish(Some(Reply::Refused { retry_after: 0 }), &mut self.metrics) {
+            self.handle_event(Event::ClientGone(id));
+        }
+        self.remove_if_finished(id);
+    }
+
     /// Fails a request that the module has not answered by its deadline.
     pub(super) fn fail_overdue(&mut self, id: RequestId) {
         let pending = self.requests.get_mut(&id);
--- a/crates/node/src/front/eviction.rs
+++ b/crates/node/src/front/eviction.rs
@@ -45,6 +45,21 @@
         Ok((prefix, reservation.map_err(|_| BodyError::NoMemory)?))
     }
 
+    /// Gives a streamed request up once it is to give way to others, unless its client owes no bytes or a server may have run
+    /// it. The driver refuses it then. Never completes.
+    pub(super) async fn abandon_evicted_upload(
+        &self, id: RequestId, request: &UpstreamRequest, timeouts: &ConnectionTimeouts,
+    ) {
+        timeouts.wait_for_eviction().await;
+        if timeouts.is_input_empty() && request.abandon_upload() {
+            let txn = request.transaction_id();
+            debug!(request = id.0, txn, "long request given up: its client moves nothing");
+            self.refuse_for_memory("its upload moves nothing");
+            let _ = self.inputs.send(Input::UploadAbandoned(id));
+        }
+        pending().await
+    }
+
     /// Counts a request that is refused because memory is short. Returns its status.
     pub(super) fn refuse_for_memory(&self, reason: &str) -> StatusCode {
         increment(&self.stats.refused_for_memory);
@@ -88,12 +103,3 @@
         BodyError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
-
-/// Waits until a streamed request is to give way to others. One whose client owes no bytes, or that may have run, does not.
-pub(super) async fn evicted_upload(timeouts: &ConnectionTimeouts, upload: Option<&Arc<Upload>>) {
-    let Some(upload) = upload else { return pending().await };
-    timeouts.wait_for_eviction().await;
-    if upload.may_have_run() || !timeouts.is_input_empty() {
-        pending().await
-    }
-}
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -61,7 +61,7 @@
 
 use active_request::{ActiveRequest, CancelOnDrop};
 use connection::ConnectionEnd;
-use eviction::{evicted_upload, status_of};
+use eviction::status_of;
 pub use listener::ClientListener;
 use listener::BACKLOG;
 use open_connections::{Candidates, OpenConnections};
@@ -222,6 +222,7 @@
     ) -> Result<Response<TrackedBody>, Infallible> {
         let txn = request.headers().get("x-txn").cloned();
         let result = self.process_request(request, &active_request, first_request_since).await;
+        let gives_way = active_request.timeouts.is_evicted();
         // A connection with an invalid request is closed after the error, so that it does not hold a slot.
         let is_invalid = result.is_err();
         let mut response = match result {
@@ -234,7 +235,7 @@
                 response
             }
         };
-        if is_invalid || !self.posture.borrow().keep_alive || self.is_nearly_full() {
+        if is_invalid || gives_way || !self.posture.borrow().keep_alive || self.is_nearly_full() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response.map(|body| TrackedBody { body, active_request }))
@@ -355,9 +356,7 @@
             biased;
             never = upload_read => never,
             reply = reply => reply.unwrap_or(Reply::Failed),
-            () = evicted_upload(timeouts, upstream_request.upload()) => {
-                return Err(self.refuse_for_memory("its upload moves nothing"));
-            }
+            () = self.abandon_evicted_upload(id, &upstream_request, timeouts) => pending().await,
             // Any status will do: no client is left to read it.
             () = active_request.wait_for_disconnect() => return Err(StatusCode::BAD_REQUEST),
         };
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -20,6 +20,8 @@
     ClientLeft(RequestId),
     /// An attempt has ended.
     AttemptEnded { id: RequestId, attempt: u32, outcome: Box<AttemptOutcome> },
+    /// A streamed request has been given up before a server could run it, so that its client gives way to others.
+    UploadAbandoned(RequestId),
     /// The last byte of a streamed request has been handed to a connection.
     Uploaded(RequestId),
     /// A streamed response has ended.
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -189,10 +189,13 @@
                 outcome = self.send(connection, response_timeout) => outcome?,
                 () = response_deadline => Status::Timeout.into(),
                 () = upload.wait_until_blocked(now, response_timeout) => {
-                    self.give_up_sending(&stream, "the server takes no more of the request").into()
+                    self.give_up_sending(upload, &stream, Status::ConnectFailed, "the server takes no more of the request")
                 }
                 () = upload.wait_until_overdue(client_time + OVERDUE_MARGIN) => {
-                    self.give_up_sending(&stream, "the client's time may be over").into()
+                    self.give_up_sending(upload, &stream, Status::ConnectFailed, "the client's time may be over")
+                }
+                () = upload.wait_until_abandoned() => {
+                    self.give_up_sending(upload, &stream, Status::NotSent, "the client gives way to others")
                 }
             };
             return Ok(AttemptOutcome { sent_at: upload.completed_at(), ..outcome });
@@ -206,14 +209,15 @@
         Ok(AttemptOutcome { sent_at: Some(now), ..outcome })
     }
 
-    /// Ends a streamed request that has no response yet; returns its status.
-    fn give_up_sending(&self, stream: &TcpStream, reason: &str) -> Status {
-        // hyper's part of the connection has ended, so a last byte that it does not have is never sent.
+    /// Ends a streamed request that has no response yet. Its status is `unsent` if no server can run it any more.
+    fn give_up_sending(
+        &self, upload: &Upload, stream: &TcpStream, unsent: Status, reason: &str,
+    ) -> AttemptOutcome {
         reset_when_closed(stream);
-        let status = self.status_without_response();
+        let status = if upload.abandon() { unsent } else { Status::Reset };
         let (txn, server) = (self.request.transaction_id(), self.server.address);
         debug!(txn, %server, ?status, reason, "attempt given up");
-        status
+        status.into()
     }
 
     /// Sends the request and receives the response, without a timeout; errors as in [`Self::exchange`].
@@ -267,7 +271,7 @@
     /// before its last byte, unless its response shows otherwise; a client that stopped sending is not the server's fault.
     fn status_without_response(&self) -> Status {
         match self.request.upload() {
-            Some(upload) if upload.is_stalled() => Status::NotSent,
+            Some(upload) if upload.is_stalled() || upload.is_abandoned() => Status::NotSent,
             Some(upload) if !upload.may_have_run() => Status::ConnectFailed,
             _ => Status::Reset,
         }
--- a/crates/node/src/upstream/request.rs
+++ b/crates/node/src/upstream/request.rs
@@ -122,6 +122,15 @@
         }
     }
 
+    /// Gives a streamed request up unless a server may have run it. Returns whether none has and none can any more.
+    pub fn abandon_upload(&self) -> bool {
+        let is_abandoned = self.upload().is_some_and(|upload| upload.abandon());
+        if is_abandoned {
+            self.cancellation.cancel();
+        }
+        is_abandoned
+    }
+
     /// Returns the streamed body, if the request has one.
     pub fn upload(&self) -> Option<&Arc<Upload>> {
         match &self.body {
