--- a/crates/lab/tests/exchanges/client.rs
+++ b/crates/lab/tests/exchanges/client.rs
@@ -149,7 +149,9 @@
     let answered_at = Instant::now();
     let status = head.as_ref().and_then(|head| head.first_line.split(' ').nth(1)?.parse().ok());
     let (body, is_whole) = head.map_or((Vec::new(), false), |head| head.read_body(&mut from, true));
-    let _ = from.get_ref().shutdown(std::net::Shutdown::Both); // ends a sender that the node does not read
+    if !plan.sends_on {
+        let _ = from.get_ref().shutdown(std::net::Shutdown::Both); // ends a sender that the node does not read
+    }
     let sent_at = sending.join().unwrap();
     let time_of_sending = plan.pause * plan.pauses;
     let waited = match sent_at {
--- a/crates/lab/tests/exchanges/main.rs
+++ b/crates/lab/tests/exchanges/main.rs
@@ -21,10 +21,14 @@
 /// Exchanges of one seed with drawn ends, and how many run at once.
 const EXCHANGES: usize = 48;
 const CLIENTS: usize = 12;
+/// Long requests of one seed whose clients pause, and how many run at once: more than there is memory for.
+const PAUSING_UPLOADS: usize = 120;
+const CROWD: usize = 40;
 /// Exchanges that are in progress when a node is told to stop.
 const EXCHANGES_AT_STOP: usize = 8;
 /// Memory of the node: enough for all bodies of a seed, and too little for them.
-const MEMORY_MB: [u32; 2] = [192, 1];
+const MEMORY_MB: [u32; 2] = [192, LEAST_MEMORY_MB];
+const LEAST_MEMORY_MB: u32 = 1;
 /// Time of a request from its last byte.
 const DEADLINE: Duration = Duration::from_millis(800);
 /// A final answer may come so long after the deadline.
@@ -63,6 +67,28 @@
     }
 }
 
+/// Plays these exchanges against a node with so much memory, `clients` at once, and returns what is wrong.
+fn violations(plans: Arc<Vec<Plan>>, memory_mb: u32, clients: usize) -> Vec<String> {
+    let server = GuideServer::start(plans.clone());
+    let node = NodeProcess::start(server.address, DEADLINE, memory_mb);
+    let clients: Vec<_> = (0..clients)
+        .map(|first| {
+            let (plans, to) = (plans.clone(), node.address);
+            thread::spawn(move || {
+                let own = plans.iter().skip(first).step_by(clients);
+                own.map(|plan| (plan.index, exchange(to, plan))).collect::<Vec<_>>()
+            })
+        })
+        .collect();
+    let answers: Vec<_> = clients.into_iter().flat_map(|client| client.join().unwrap()).collect();
+    let violation = |(index, answer): &(usize, Answer)| {
+        let plan = &plans[*index];
+        let what = violation(plan, server.runs(*index), answer)?;
+        Some(format!("{what}: {plan:?}, status {:?}", answer.status))
+    };
+    answers.iter().filter_map(violation).collect()
+}
+
 /// Guards callers against repeated side effects and lost requests: whatever form a request has and however its server
 /// ends it, it gets one final answer in time, and no refusal after it ran.
 #[test]
@@ -72,27 +98,20 @@
         let mut random = fastrand::Rng::with_seed(seed);
         let plans: Arc<Vec<Plan>> =
             Arc::new((0..EXCHANGES).map(|index| Plan::with_drawn_ending(index, &mut random)).collect());
-        let server = GuideServer::start(plans.clone());
         let memory_mb = MEMORY_MB[random.usize(..MEMORY_MB.len())];
-        let node = NodeProcess::start(server.address, DEADLINE, memory_mb);
-        let clients: Vec<_> = (0..CLIENTS)
-            .map(|first| {
-                let (plans, to) = (plans.clone(), node.address);
-                thread::spawn(move || {
-                    let own = plans.iter().skip(first).step_by(CLIENTS);
-                    own.map(|plan| (plan.index, exchange(to, plan))).collect::<Vec<_>>()
-                })
-            })
-            .collect();
-        let answers: Vec<_> = clients.into_iter().flat_map(|client| client.join().unwrap()).collect();
-        let violations: Vec<String> = answers
-            .iter()
-            .filter_map(|(index, answer)| {
-                let plan = &plans[*index];
-                let what = violation(plan, server.runs(*index), answer)?;
-                Some(format!("{what}: {plan:?}, status {:?}", answer.status))
-            })
-            .collect();
+        let violations = violations(plans, memory_mb, CLIENTS);
+        assert!(violations.is_empty(), "seed {seed}:\n{}", violations.join("\n"));
+    }
+}
+
+/// The same for long requests whose clients pause while others wait for memory: those that give way do not run.
+#[test]
+fn no_request_runs_that_was_refused_because_its_client_paused() {
+    for seed in seeds() {
+        println!("seed {seed}");
+        let mut random = fastrand::Rng::with_seed(seed);
+        let plans = (0..PAUSING_UPLOADS).map(|index| Plan::pausing_upload(index, &mut random)).collect();
+        let violations = violations(Arc::new(plans), LEAST_MEMORY_MB, CROWD);
         assert!(violations.is_empty(), "seed {seed}:\n{}", violations.join("\n"));
     }
 }
--- a/crates/lab/tests/exchanges/plan.rs
+++ b/crates/lab/tests/exchanges/plan.rs
@@ -103,6 +103,8 @@
     pub response_pauses: u32,
     /// Length of a pause of either side.
     pub pause: Duration,
+    /// Whether the client sends the rest of its body behind an early answer too.
+    pub sends_on: bool,
     pub response_length: usize,
     pub response_framing: Framing,
     pub ending: Ending,
@@ -132,6 +134,7 @@
             pauses: draw(&[0, 0, 1, 3], random),
             response_pauses: draw(&[0, 0, 1, 3], random),
             pause: Duration::from_millis(random.u64(1..60)),
+            sends_on: false,
             response_length: draw(&RESPONSE_LENGTHS, random),
             response_framing: draw(&[Framing::ContentLength, response_chunked, Framing::Close], random),
             ending: draw(&ENDINGS, random),
@@ -139,6 +142,18 @@
         }
     }
 
+    /// Draws a long request whose client pauses for so long that it gives way to others that wait for memory.
+    pub fn pausing_upload(index: usize, random: &mut fastrand::Rng) -> Self {
+        let plan = Plan {
+            body_length: random.usize(100_000..600_000),
+            pauses: random.u32(1..3),
+            pause: Duration::from_millis(random.u64(200..500)),
+            sends_on: true,
+            ..Plan::with_drawn_ending(index, random)
+        };
+        Plan { early_after: random.usize(..plan.body_length) / 2, ..plan }
+    }
+
     /// Draws an exchange that takes far longer than its deadline, by its request or by its response.
     pub fn long_lasting(index: usize, random: &mut fastrand::Rng) -> Self {
         let by_request = random.u8(..4) == 0;
