--- a/crates/node/src/body/mod.rs
+++ b/crates/node/src/body/mod.rs
@@ -7,9 +7,11 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use merlinfold_decide::interface::Nanos;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{timeout, timeout_at, Instant};
 
+use crate::answer_deadline::AnswerDeadline;
 use crate::capacity::{Capacity, Slots, BODY_UNIT_BYTES};
 use crate::memory::{Memory, Purpose};
 
@@ -138,10 +140,17 @@
 }
 
 /// What a body does that finds no memory.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WithoutMemory {
-    /// It waits unread until this time.
-    WaitUntil(Instant),
+#[derive(Clone, Copy)]
+pub enum WithoutMemory<'a> {
+    /// It waits unread until this answer is due to a request whose last byte has come at `since`.
+    WaitUntilDue {
+        /// Deadline of the answer.
+        answer_deadline: &'a AnswerDeadline,
+        /// When the last byte may have come, in nanoseconds of the clock.
+        since: Nanos,
+        /// Time that the client waits from then.
+        client_time: Nanos,
+    },
     /// It is streamed.
     Stream,
 }
@@ -150,7 +159,7 @@
 /// memory. `wait_limit` maps the number of bytes received to
 /// the time until which to wait for more, and to what happens then: an error, or streaming of the rest.
 pub async fn buffer_body(
-    body: &mut Incoming, budget: &BufferBudget, without_memory: WithoutMemory,
+    body: &mut Incoming, budget: &BufferBudget, without_memory: WithoutMemory<'_>,
     wait_limit: impl Fn(usize) -> (Instant, OnTimeout),
 ) -> Result<BodyPrefix, BodyError> {
     let length_hint = body.size_hint().exact();
@@ -200,14 +209,14 @@
 /// Reserves memory for a body. Returns `None` for a body that is to be streamed instead, and an error if it has waited
 /// until its time limit.
 async fn reserve(
-    budget: &BufferBudget, bytes: usize, without_memory: WithoutMemory,
+    budget: &BufferBudget, bytes: usize, without_memory: WithoutMemory<'_>,
 ) -> Result<Option<BufferReservation>, BodyError> {
     match (budget.reserve(bytes), without_memory) {
         (Some(reservation), _) => Ok(Some(reservation)),
         (None, WithoutMemory::Stream) => Ok(None),
-        (None, WithoutMemory::WaitUntil(limit)) => match timeout_at(limit, budget.wait(bytes)).await {
-            Ok(reservation) => Ok(Some(reservation)),
-            Err(_) => Err(BodyError::NoMemory),
+        (None, WithoutMemory::WaitUntilDue { answer_deadline, since, client_time }) => tokio::select! {
+            reservation = budget.wait(bytes) => Ok(Some(reservation)),
+            () = answer_deadline.wait(since, client_time) => Err(BodyError::NoMemory),
         },
     }
 }
--- a/crates/node/src/body/upload.rs
+++ b/crates/node/src/body/upload.rs
@@ -15,6 +15,7 @@
 use tokio::time::{sleep, Sleep};
 
 use super::{BodyPrefix, BufferReservation, InputClock};
+use crate::answer_deadline::AnswerDeadline;
 use crate::clock::Clock;
 use crate::metrics::AttemptCounter;
 
@@ -37,7 +38,7 @@
     completion: Notify,
     abandonment: Notify,
     clock: Clock,
-    answer_by: Nanos, // when the node has to have answered in any case
+    answer_deadline: AnswerDeadline,
     _stream_memory: BufferReservation,
 }
 
@@ -51,11 +52,11 @@
 
 impl Upload {
     /// Creates an upload from the prefix that was read, the rest of the body, and the memory for streaming it.
-    /// `answer_by` is when a whole request has to be answered in any case; `new_input` creates the record of its bytes for
-    /// a body of this length.
+    /// `answer_deadline` is when a whole request has to be answered; `new_input` creates the record of its bytes for a body
+    /// of this length.
     pub fn new(
-        prefix: BodyPrefix, rest: Incoming, stream_memory: BufferReservation, clock: Clock, answer_by: Nanos,
-        new_input: impl FnOnce(Option<u64>) -> InputClock,
+        prefix: BodyPrefix, rest: Incoming, stream_memory: BufferReservation, clock: Clock,
+        answer_deadline: AnswerDeadline, new_input: impl FnOnce(Option<u64>) -> InputClock,
     ) -> Self {
         let length_hint = rest.size_hint().exact().map(|rest| rest + prefix.bytes.len() as u64);
         let mut input = new_input(length_hint);
@@ -73,7 +74,7 @@
             completion: Notify::new(),
             abandonment: Notify::new(),
             clock,
-            answer_by,
+            answer_deadline,
             _stream_memory: stream_memory,
         }
     }
@@ -172,17 +173,26 @@
         }
     }
 
-    /// Waits until the last byte may have been written `limit` ago: the client's time is over.
+    /// Waits until the request has to be answered whose last byte a connection has had for `client_time`, or for which a
+    /// stop leaves no more time.
+    pub async fn wait_until_due(&self, client_time: Nanos) {
+        let completed_at = self.wait_until_complete().await;
+        self.answer_deadline.wait(completed_at, client_time).await;
+    }
+
+    /// Waits until the last byte may have been written `limit` ago, or a stop leaves it no more time: the client's time is
+    /// over.
     pub async fn wait_until_overdue(&self, limit: Nanos) {
+        let mut answer_deadline = self.answer_deadline.clone();
         loop {
             let now = self.clock.now();
             let is_awaited = self.awaits_client.load(Ordering::Relaxed);
             let last_byte_since = self.lock().input.last_byte_since(is_awaited);
-            let due = last_byte_since.map_or(now + limit, |since| (since + limit).min(self.answer_by));
-            if due <= now {
+            let due = answer_deadline.current(last_byte_since.unwrap_or(now), limit);
+            if due <= now && last_byte_since.is_some() {
                 return;
             }
-            sleep(Duration::from_nanos(due - now)).await;
+            answer_deadline.sleep_or_change(due - now).await;
         }
     }
 
--- a/crates/node/src/front/eviction.rs
+++ b/crates/node/src/front/eviction.rs
@@ -32,29 +32,44 @@
         self.stats.evicted.fetch_add(evicted as u64, Ordering::Relaxed);
     }
 
-    /// Reads as much of a body as is buffered, for which there has to be memory at `memory_by`; for one that is streamed, reserves the memory of a stream.
+    /// Reads as much of a body as is buffered; for one that is streamed, reserves the memory of a stream. The body waits for
+    /// memory until its answer is due to a client that waits for `client_time` since `since`.
     pub(super) async fn read_body(
-        &self, body: &mut Incoming, memory_by: Instant, wait_limit: impl Fn(usize) -> (Instant, OnTimeout),
+        &self, body: &mut Incoming, since: Nanos, client_time: Nanos,
+        wait_limit: impl Fn(usize) -> (Instant, OnTimeout),
     ) -> Result<(BodyPrefix, BufferReservation), BodyError> {
         let budget = BufferBudget::new(&self.capacity);
-        let prefix = buffer_body(body, &budget, WithoutMemory::WaitUntil(memory_by), wait_limit).await?;
+        let answer_deadline = &self.answer_deadline;
+        let without_memory = WithoutMemory::WaitUntilDue { answer_deadline, since, client_time };
+        let prefix = buffer_body(body, &budget, without_memory, wait_limit).await?;
         if prefix.is_complete || prefix.reservation.is_some() {
             return Ok((prefix, None));
         }
-        let reservation = timeout_at(memory_by, budget.wait_for_stream()).await;
-        Ok((prefix, reservation.map_err(|_| BodyError::NoMemory)?))
+        tokio::select! {
+            reservation = budget.wait_for_stream() => Ok((prefix, reservation)),
+            () = answer_deadline.wait(since, client_time) => Err(BodyError::NoMemory),
+        }
     }
 
-    /// Gives a streamed request up once it is to give way to others, unless its client owes no bytes or a server may have run
-    /// it. The driver refuses it then. Never completes.
-    pub(super) async fn abandon_evicted_upload(
+    /// Gives a streamed request up, unless a server may have run it: once it is to give way to others and its client owes
+    /// bytes, or once a stop leaves no time for its answer. The driver refuses it then. Never completes.
+    pub(super) async fn abandon_upload(
         &self, id: RequestId, request: &UpstreamRequest, timeouts: &ConnectionTimeouts,
     ) {
-        timeouts.wait_for_eviction().await;
-        if timeouts.is_input_empty() && request.abandon_upload() {
-            let txn = request.transaction_id();
-            debug!(request = id.0, txn, "long request given up: its client moves nothing");
-            self.refuse_for_memory("its upload moves nothing");
+        let Some(upload) = request.upload() else { return pending().await };
+        let gives_way = async {
+            timeouts.wait_for_eviction().await;
+            if !timeouts.is_input_empty() {
+                pending().await
+            }
+        };
+        let reason = tokio::select! {
+            () = gives_way => "its client moves nothing",
+            () = upload.wait_until_overdue(NEVER) => "the node stops",
+        };
+        if request.abandon_upload() {
+            debug!(request = id.0, txn = request.transaction_id(), reason, "long request given up");
+            self.refuse_for_memory(reason);
             let _ = self.inputs.send(Input::UploadAbandoned(id));
         }
         pending().await
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -28,6 +28,7 @@
 use tokio_util::sync::CancellationToken;
 use tracing::{debug, info, warn};
 
+use crate::answer_deadline::AnswerDeadline;
 use crate::body::{
     buffer_body, BodyError, BodyPrefix, BufferBudget, BufferReservation, BufferedBody, InputClock, OnTimeout,
     Upload, WithoutMemory,
@@ -44,7 +45,7 @@
     has_disconnected, has_input, has_unread_bytes, is_transient, limit_unsent_bytes, MonitoredStream,
     SharedStream,
 };
-use crate::upstream::{Relay, RequestBody, ServerResponseBody, UpstreamRequest};
+use crate::upstream::{Relay, RequestBody, ServerResponseBody, UpstreamRequest, NEVER};
 use merlinfold_decide::interface::{Nanos, RequestId, Settings};
 use merlinfold_settings::{NameTable, NameTables};
 
@@ -92,6 +93,7 @@
     accepts_new_tenants: bool, // revisions of the configuration may add tenants
     deadlines: Vec<Nanos>,
     posture: watch::Receiver<ServingState>,
+    answer_deadline: AnswerDeadline,
     capacity: Capacity,
     clock: Clock,
     inputs: UnboundedSender<Input>,
@@ -113,6 +115,7 @@
             tenants: names.tenants.clone(),
             accepts_new_tenants: false,
             deadlines: settings.classes.iter().map(|class| class.deadline).collect(),
+            answer_deadline: AnswerDeadline::new(clock, posture.clone()),
             posture,
             capacity,
             clock,
@@ -292,10 +295,9 @@
         let deadline = self.deadlines[class];
         let client_time = remaining.unwrap_or(deadline).min(deadline);
         // The client may have written its last byte together with its head.
-        let memory_by = self.clock.instant(arrived + client_time);
         let (prefix, stream_memory) = tokio::select! {
             biased;
-            read = self.read_body(&mut body, memory_by, wait_limit) => read.map_err(status_of)?,
+            read = self.read_body(&mut body, arrived, client_time, wait_limit) => read.map_err(status_of)?,
             () = timeouts.wait_for_eviction() => return Err(self.refuse_for_memory("it moves too little")),
         };
         if prefix.is_complete {
@@ -308,16 +310,14 @@
             true => arrived,
             false => self.stalls.arrival(self.clock.now()).min(input_since.max(arrived)),
         };
-        let client_deadline = arrived + client_time;
-        let client_deadline =
-            self.posture.borrow().stop.map_or(client_deadline, |stop| client_deadline.min(stop.answer_by));
+        let client_deadline = self.answer_deadline.current(arrived, client_time);
         let body = match prefix {
             complete @ BodyPrefix { is_complete: true, .. } => BufferedBody::from(complete).into(),
             incomplete => RequestBody::Streamed(Arc::new({
                 let timeouts = active_request.timeouts.clone();
-                let answer_by = self.posture.borrow().stop.map_or(Nanos::MAX, |stop| stop.answer_by);
+                let answer_deadline = self.answer_deadline.clone();
                 let new_input = |length| InputClock::new(timeouts, accepted_at, length);
-                Upload::new(incomplete, body, stream_memory, self.clock, answer_by, new_input)
+                Upload::new(incomplete, body, stream_memory, self.clock, answer_deadline, new_input)
             })),
         };
         let is_head = head.method == Method::HEAD;
@@ -356,7 +356,7 @@
             biased;
             never = upload_read => never,
             reply = reply => reply.unwrap_or(Reply::Failed),
-            () = self.abandon_evicted_upload(id, &upstream_request, timeouts) => pending().await,
+            () = self.abandon_upload(id, &upstream_request, timeouts) => pending().await,
             // Any status will do: no client is left to read it.
             () = active_request.wait_for_disconnect() => return Err(StatusCode::BAD_REQUEST),
         };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,6 @@
 //! The node: it runs the decision module on real sockets. Each part of it reports to the driver by messages.
 
+mod answer_deadline;
 mod body;
 mod capacity;
 mod clock;
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -20,6 +20,8 @@
 const MAX_DEADLINE_AFTER_STOP: Nanos = 3_000_000_000;
 /// Time that the last answer needs to reach its client before the process ends.
 const LAST_ANSWER_TRANSIT: Nanos = 20_000_000;
+/// Time after the longest awaited deadline from a stop before which the platform does not kill the process.
+const KILL_MARGIN: Nanos = 700_000_000;
 /// How long after the start of standby connections without a request are closed. By then the front has sent clients
 /// elsewhere, and the rest of the 4 s that a drain may take covers the longest answer.
 const IDLE_CLOSE_DELAY: Nanos = 1_000_000_000;
@@ -65,8 +67,10 @@
 /// each connection has limits of its own, see [`ConnectionTimeouts`](crate::connection_timeouts::ConnectionTimeouts).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopLimits {
-    /// By when requests that come from now on have to be answered.
-    pub answer_by: Nanos,
+    /// By when requests that have come by then have to be answered.
+    answer_by: Nanos,
+    /// The same for requests that come later: just before the platform may kill the process.
+    last_answer_by: Nanos,
     /// When every accepted request has been answered, refused or at least begun to be answered. Clients that were not
     /// accepted by then are past their deadline.
     pub answers_begun_by: Nanos,
@@ -74,6 +78,14 @@
     pub exit_by: Nanos,
 }
 
+impl StopLimits {
+    /// When a request has to be answered, whatever its own deadline, if its last byte has come at `since`. `None` after
+    /// the process may have been killed already: who is still served then is owed no more than its own deadline.
+    pub fn answer_limit(self, since: Nanos) -> Option<Nanos> {
+        [self.answer_by, self.last_answer_by].into_iter().find(|&limit| since < limit)
+    }
+}
+
 /// The lifecycle of one node.
 #[derive(Debug)]
 pub struct Lifecycle {
@@ -190,6 +202,7 @@
         let answers_begun_by = since + self.longest_deadline + ANSWER_MARGIN;
         StopLimits {
             answer_by: since + awaited_deadline + ANSWER_MARGIN - LAST_ANSWER_TRANSIT,
+            last_answer_by: since + awaited_deadline + KILL_MARGIN - LAST_ANSWER_TRANSIT,
             answers_begun_by,
             exit_by: answers_begun_by + MAX_DRAIN_TIME,
         }
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::{yield_now, AbortHandle};
-use tokio::time::{sleep_until, timeout, timeout_at, Duration, Instant};
+use tokio::time::{timeout, timeout_at, Duration, Instant};
 use tokio_util::sync::CancellationToken;
 use tracing::debug;
 
@@ -180,14 +180,11 @@
         if let Some(upload) = self.request.upload() {
             let client_time = self.deadline.saturating_sub(self.started);
             let response_timeout = self.response_timeout.min(client_time);
-            let response_deadline = async {
-                sleep_until(self.clock.instant(upload.wait_until_complete().await + response_timeout)).await
-            };
             let stream = connection.stream.clone();
             limit_unsent_bytes(&stream);
             let outcome = tokio::select! {
                 outcome = self.send(connection, response_timeout) => outcome?,
-                () = response_deadline => Status::Timeout.into(),
+                () = upload.wait_until_due(response_timeout) => Status::Timeout.into(),
                 () = upload.wait_until_blocked(now, response_timeout) => {
                     self.give_up_sending(upload, &stream, Status::ConnectFailed, "the server takes no more of the request")
                 }
