Count the reads of a head anew with each request on a kept connection

Cause: a read was counted as one of a head before it was known that it completes the head, and nothing set the count back as the request began. From the eighth request on a connection, each read was followed by the pause of 2 ms that is meant for one head in many pieces.

Change: the count starts anew once another head has been completed since the last read.

--- a/crates/node/src/connection_timeouts.rs
+++ b/crates/node/src/connection_timeouts.rs
@@ -52,7 +52,7 @@
     stall_timeout: Nanos,         // longer than any response may take
     request_active: AtomicBool,   // a request is in progress
     write_blocked: AtomicBool,    // the client accepts no more bytes for now
-    had_request: AtomicBool,      // at least one request head has arrived
+    request_heads: AtomicU64,     // complete request heads that have arrived
     last_byte_at: AtomicU64,      // last byte in either direction, or when a write began to wait
     response_ended_at: AtomicU64, // end of the last response
     head_started_at: AtomicU64,   // first byte after the last request; 0: none yet
@@ -75,7 +75,7 @@
             stall_timeout: MIN_STALL_TIMEOUT.max(longest_response.saturating_mul(2)),
             request_active: AtomicBool::new(false),
             write_blocked: AtomicBool::new(false),
-            had_request: AtomicBool::new(false),
+            request_heads: AtomicU64::new(0),
             last_byte_at: AtomicU64::new(0),
             response_ended_at: AtomicU64::new(0),
             head_started_at: AtomicU64::new(0),
@@ -180,7 +180,12 @@
     pub fn request_started(&self) -> bool {
         self.reading.response_started();
         self.request_active.store(true, Ordering::Relaxed);
-        !self.had_request.swap(true, Ordering::Relaxed)
+        self.request_heads.fetch_add(1, Ordering::Relaxed) == 0
+    }
+
+    /// Returns how many complete request heads have arrived.
+    pub fn request_heads(&self) -> u64 {
+        self.request_heads.load(Ordering::Relaxed)
     }
 
     /// Records that the request body has been read: bytes received from now on belong to the next request.
@@ -200,7 +205,7 @@
 
     /// Returns whether the client has sent anything.
     pub fn is_used(&self) -> bool {
-        self.has_partial_request() || self.had_request.load(Ordering::Relaxed)
+        self.has_partial_request() || self.request_heads() > 0
     }
 
     /// Returns whether the body of a request is being received.
@@ -276,7 +281,7 @@
             (load(&self.last_byte_at), load(&self.response_ended_at), load(&self.head_started_at));
         if self.request_active.load(Ordering::Relaxed) || self.write_blocked.load(Ordering::Relaxed) {
             (last_byte_at + self.stall_timeout, CloseReason::Stalled)
-        } else if !self.had_request.load(Ordering::Relaxed) {
+        } else if self.request_heads() == 0 {
             // Counted from the accept, or a peer could hold its slot longer by beginning late.
             (
                 if head_started_at > 0 { HEAD_TIMEOUT } else { self.first_request_timeout },
--- a/crates/node/src/stream.rs
+++ b/crates/node/src/stream.rs
@@ -132,14 +132,15 @@
     stream: S,
     timeouts: Arc<ConnectionTimeouts>,
     accepted_at: Instant,
-    head_reads: u32, // of the head that is being received
+    head_reads: u32,    // of the head that is being received
+    request_heads: u64, // complete heads before it
     pause: Option<Pin<Box<Sleep>>>,
 }
 
 impl<S> MonitoredStream<S> {
     /// `accepted_at` is when the connection was accepted; reported times are relative to it.
     pub fn new(stream: S, timeouts: Arc<ConnectionTimeouts>, accepted_at: Instant) -> Self {
-        MonitoredStream { stream, timeouts, accepted_at, head_reads: 0, pause: None }
+        MonitoredStream { stream, timeouts, accepted_at, head_reads: 0, request_heads: 0, pause: None }
     }
 
     fn now(&self) -> Nanos {
@@ -159,8 +160,12 @@
 impl<S> MonitoredStream<S> {
     /// Counts a read, and sets the pause before the next one.
     fn count_read(&mut self) {
+        // What a read brings is counted before it is known whether it completes the head.
+        let request_heads = self.timeouts.request_heads();
+        if !self.timeouts.is_receiving_head() || request_heads != self.request_heads {
+            (self.head_reads, self.request_heads) = (0, request_heads);
+        }
         if !self.timeouts.is_receiving_head() {
-            self.head_reads = 0;
             return;
         }
         self.head_reads += 1;
@@ -214,3 +219,7 @@
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/stream.rs"]
+mod tests;
--- a/crates/node/tests/unit/connection_timeouts.rs
+++ b/crates/node/tests/unit/connection_timeouts.rs
@@ -118,7 +118,7 @@
                 _ => {}
             }
             let (at, _) = timeouts.deadline();
-            let before_first_request = !timeouts.had_request.load(Ordering::Relaxed);
+            let before_first_request = timeouts.request_heads() == 0;
             prop_assert!(
                 before_first_request || at >= before || at >= now + timeouts.poll_interval(),
                 "{at} at {now} after {event}"
