Answer a request that crosses the close of an idle connection at a stop or an upgrade

Cause: the library was told to shut an idle connection down; it then reads nothing more, and closes, although a request has just arrived in the kernel.

Change: a connection without a request whose last response is written ends as one that gives way to others does: what has come unread is answered 503, and the rest is read until the client closes.

Test: an_upgrade_beside_hundreds_of_pausing_readers_cuts_none_and_stays_within_the_memory_of_one_node (new fixed scenario).

--- a/crates/lab/src/peer_faults/pictures.rs
+++ b/crates/lab/src/peer_faults/pictures.rs
@@ -5,7 +5,7 @@
 use super::scenario::{Peers, Restart, RestartKind, Scenario};
 
 /// Names of the fixed scenarios.
-pub const PICTURES: [&str; 28] = [
+pub const PICTURES: [&str; 29] = [
     "calm",
     "stopped-uploads",
     "piecewise-uploads",
@@ -31,6 +31,7 @@
     "returning-ids",
     "upgrade-beside-stopped-uploads",
     "upgrade-beside-piecewise-uploads",
+    "upgrade-beside-pausing-readers",
     "upgrade-beside-leavers",
     "upgrade-beside-returning-ids",
     "upgrade-without-discovery",
@@ -112,6 +113,9 @@
         "returning-ids" => returning,
         "upgrade-beside-stopped-uploads" => upgraded(crowd(stopped)),
         "upgrade-beside-piecewise-uploads" => upgraded(crowd(piecewise)),
+        "upgrade-beside-pausing-readers" => {
+            upgraded(pausing(Peers::PausingReader { answer: 2_000_000, pauses: 1, pause_ms: 3_000 }))
+        }
         "upgrade-beside-returning-ids" => upgraded(returning),
         "upgrade-without-discovery" => {
             upgraded(Scenario { always_reconnects: true, deadline_ms: 200, ..calm.clone() })
--- a/crates/lab/tests/peer_faults.rs
+++ b/crates/lab/tests/peer_faults.rs
@@ -126,6 +126,13 @@
     play("upgrade-beside-piecewise-uploads");
 }
 
+/// The same beside readers that pause, none of whose answers is cut, and requests that reach a process just as it closes
+/// its idle connections for the other one.
+#[test]
+fn an_upgrade_beside_hundreds_of_pausing_readers_cuts_none_and_stays_within_the_memory_of_one_node() {
+    play("upgrade-beside-pausing-readers");
+}
+
 /// Guards the final answer of a long request against a server that reads it slowly.
 #[test]
 fn a_request_that_its_server_reads_slowly_is_answered_in_time() {
--- a/crates/node/src/front/connection.rs
+++ b/crates/node/src/front/connection.rs
@@ -23,7 +23,7 @@
     Cut,
     /// After an invalid message.
     Malformed,
-    /// For others that wait, while no request was in progress.
+    /// For others that wait, or for the end of the process, while no request was in progress.
     GaveWay,
 }
 
@@ -108,6 +108,11 @@
                 () = sleep(PARTIAL_REQUEST_POLL_INTERVAL) => {}
             }
         }
+        // Of a request that has just come, the library would read nothing, and close without an answer.
+        let is_written = timeouts.still_for(now()).is_some_and(|still| still >= RESPONSE_WRITE_TIME);
+        if timeouts.has_no_request() && (is_written || !timeouts.is_used()) {
+            return ConnectionEnd::GaveWay;
+        }
         connection.as_mut().graceful_shutdown();
         tokio::select! {
             result = connection => self.count_end(result),
