Give a client that has just connected time for its first byte when idle connections close

Cause: a connection on which nothing has come yet counted as idle, however new it was.

Change: one that nothing has come on is closed 0.1 s after its accept at the earliest.

--- a/crates/lab/tests/peer_faults.rs
+++ b/crates/lab/tests/peer_faults.rs
@@ -10,6 +10,11 @@
 
 /// Seeds of the drawn scenarios, and the seconds of each. More of them: `merlinfold-lab peer-faults --count 50`.
 const SEEDS: [u64; 5] = [1, 2, 3, 4, 6];
+/// A seed whose crowd connects just as the successor of an upgrade begins to listen.
+const RECONNECTING_SEED: u64 = 105;
+/// A seed whose clients leave with requests in flight beside slow readers and a stop.
+const LEAVING_SEED: u64 = 124;
+const SOAK_SECONDS: f64 = 8.0;
 /// A seed whose crowd keeps requests waiting at each step on their way.
 const CROWDED_SEED: u64 = 5;
 const SECONDS: f64 = 6.0;
@@ -45,6 +50,18 @@
     expect_no_violation(&format!("seed {CROWDED_SEED}"), &draw(CROWDED_SEED, SECONDS));
 }
 
+/// Guards clients that have just connected: a process closed their connections with its idle ones for its successor.
+#[test]
+fn a_client_that_has_just_connected_is_answered_as_a_successor_begins_to_listen() {
+    expect_no_violation(&format!("seed {RECONNECTING_SEED}"), &draw(RECONNECTING_SEED, SOAK_SECONDS));
+}
+
+/// Guards against work for clients that have gone, where a process stops beside slow readers.
+#[test]
+fn no_attempt_begins_after_its_client_has_left_beside_slow_readers_and_a_stop() {
+    expect_no_violation(&format!("seed {LEAVING_SEED}"), &draw(LEAVING_SEED, SOAK_SECONDS));
+}
+
 /// Guards other clients against a peer whose empty lines the node reads without an end after it has refused them.
 #[test]
 fn empty_lines_at_full_speed_leave_other_clients_served() {
--- a/crates/node/src/front/connection.rs
+++ b/crates/node/src/front/connection.rs
@@ -6,6 +6,8 @@
 const DRAINING_IDLE_TIMEOUT: Nanos = 500_000_000;
 /// Interval between checks whether a partially received request is complete.
 const PARTIAL_REQUEST_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time from the accept within which a client that connects for a request sends its first byte.
+const FIRST_BYTE_TIME: Duration = Duration::from_millis(100);
 /// Time without a byte after which a response that was handed to the connection has been written.
 const RESPONSE_WRITE_TIME: Nanos = 50_000_000;
 /// Bytes of a request that a connection buffers: the buffers of all slots together must fit in memory.
@@ -99,8 +101,9 @@
             reason = timed_out.as_mut() => return self.count_timeout(reason),
         }
         // A graceful shutdown by hyper closes an idle connection even when part of a request has arrived. Such a
-        // request is answered first, with `Connection: close`.
-        while timeouts.has_partial_request() {
+        // request is answered first, with `Connection: close`. So is the one that a client has just connected for.
+        let is_new = || !timeouts.is_used() && accepted_at.elapsed() < FIRST_BYTE_TIME;
+        while timeouts.has_partial_request() || is_new() {
             tokio::select! {
                 biased;
                 result = connection.as_mut() => return self.count_end(result),
