Wait for the count of attempts in the console's test instead of reading it once

A request is pending as soon as the driver has it; its attempt counts once it has been written, after a connect in a task of its own. The test read the count right after the first.

--- a/crates/cli/tests/console.rs
+++ b/crates/cli/tests/console.rs
@@ -101,9 +101,10 @@
     let mut leaving = node.client();
     leaving.write(&request("pay", "X-Do: hang\r\n", ""));
     node.wait_for("pending", 1);
-    assert_eq!(node.metric("upstream_requests"), 5);
+    node.wait_for("upstream_requests", 5); // a request is pending before its attempt is sent
     drop(leaving);
     node.wait_for("pending", 0);
+    assert_eq!(node.metric("upstream_requests"), 5, "each attempt is counted once");
     let requests = |name| node.metric(&format!("downstream_requests.{name}"));
     assert_eq!((requests("read.completed"), requests("read.rejected"), requests("read.failed")), (3, 0, 0));
     assert_eq!((requests("pay.completed"), requests("pay.rejected"), requests("pay.failed")), (0, 0, 1));
